--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,181 @@
+package config
+
+import (
+	"bytes"
+	"encoding/xml"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Operator holds the operators' own settings. Every one has a default, which
+// is derived from the platform's settings where it can be.
+type Operator struct {
+	A, B, C     float64       // parameters of UCfit
+	Shards      int           // how many units jobs, blocks and shares are leased in
+	HolderLease time.Duration // a controller's lease at the state service
+	Idle        time.Duration // an empty machine is given back after this
+	Status      string        // address of the operators' endpoint; empty: none
+}
+
+// Timing is what follows from both files.
+type Timing struct {
+	HolderLease time.Duration // as granted by the state service
+	Act         time.Duration // how long a holder acts after sending a renewal
+	WorkerGone  time.Duration // silence after which a worker has dropped its tasks
+}
+
+type operatorXML struct {
+	XMLName     xml.Name `xml:"reedtrack"`
+	A           *float64 `xml:"ucfit>a"`
+	B           *float64 `xml:"ucfit>b"`
+	C           *float64 `xml:"ucfit>c"`
+	Shards      *int     `xml:"shards"`
+	HolderLease *float64 `xml:"holder-lease-s"`
+	Idle        *float64 `xml:"idle-s"`
+	Status      *string  `xml:"status-listen"`
+}
+
+var operatorNames = map[string]bool{"reedtrack": true, "reedtrack/ucfit": true, "reedtrack/ucfit/a": true,
+	"reedtrack/ucfit/b": true, "reedtrack/ucfit/c": true, "reedtrack/shards": true,
+	"reedtrack/holder-lease-s": true, "reedtrack/idle-s": true, "reedtrack/status-listen": true}
+
+// Margin covers timers that fire late and answers under way.
+func (s *Settings) Margin() time.Duration {
+	return Seconds(s.Deployment.Workers.ReportS/2) + 500*time.Millisecond
+}
+
+// Defaults derives the operators' settings from the platform's.
+func (s *Settings) Defaults() Operator {
+	w := s.Deployment.Workers
+	// A third of what a cancellation leaves above the workers' lease: the
+	// rest is for the take-over and for commands under way.
+	lease := Seconds((w.CancelS - w.LeaseS) / 3)
+	return Operator{A: 2, B: 1, C: 0.2, Shards: s.Deployment.Count,
+		HolderLease: min(max(lease, 2*time.Second), 10*time.Second),
+		Idle:        Seconds(w.LeaseS)}
+}
+
+// LoadOperator reads the XML file at path over the defaults; no path, only
+// the defaults.
+func (s *Settings) LoadOperator(path string) (Operator, error) {
+	op := s.Defaults()
+	if path == "" {
+		return op, s.Safe("settings", op)
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return op, &FieldError{path, "file", err.Error()}
+	}
+	return s.ParseOperator(path, raw)
+}
+
+// ParseOperator checks operators' settings already read.
+func (s *Settings) ParseOperator(file string, raw []byte) (Operator, error) {
+	op := s.Defaults()
+	if err := knownElements(file, raw); err != nil {
+		return op, err
+	}
+	var x operatorXML
+	if err := xml.Unmarshal(raw, &x); err != nil {
+		return op, &FieldError{file, "reedtrack", err.Error()}
+	}
+	set := func(to *float64, from *float64) {
+		if from != nil {
+			*to = *from
+		}
+	}
+	set(&op.A, x.A)
+	set(&op.B, x.B)
+	set(&op.C, x.C)
+	if x.Shards != nil {
+		op.Shards = *x.Shards
+	}
+	if x.HolderLease != nil {
+		op.HolderLease = Seconds(*x.HolderLease)
+	}
+	if x.Idle != nil {
+		op.Idle = Seconds(*x.Idle)
+	}
+	if x.Status != nil {
+		op.Status = strings.TrimSpace(*x.Status)
+	}
+	for field, v := range map[string]float64{"ucfit/a": op.A, "ucfit/b": op.B, "ucfit/c": op.C} {
+		if !(v >= 0 && v <= 100) {
+			return op, &FieldError{file, field, "must be from 0 to 100"}
+		}
+	}
+	if op.Shards < 1 || op.Shards > 64 {
+		return op, &FieldError{file, "shards", "must be from 1 to 64"}
+	}
+	if op.Idle < 0 {
+		return op, &FieldError{file, "idle-s", "must not be negative"}
+	}
+	return op, s.Safe(file, op)
+}
+
+// Safe checks the inequality on which cancellations rest: a holder that was
+// cut off acts no longer than its lease, and its workers no longer than theirs
+// after that; both must be over when a cancellation has to be complete.
+func (s *Settings) Safe(file string, op Operator) error {
+	w := s.Deployment.Workers
+	if op.HolderLease < time.Second || op.HolderLease > 10*time.Minute {
+		return &FieldError{file, "holder-lease-s", "must be from 1 to 600"}
+	}
+	sum := op.HolderLease + Seconds(w.LeaseS) + 2*s.Margin()
+	if sum >= Seconds(w.CancelS) {
+		return &FieldError{file, "holder-lease-s", fmt.Sprintf(
+			"holder lease %v + workers.lease_s %vs + margins %v = %v must be below workers.cancel_s %vs",
+			op.HolderLease, w.LeaseS, 2*s.Margin(), sum, w.CancelS)}
+	}
+	return nil
+}
+
+// Timing derives the timings that the safety arguments use.
+func (s *Settings) Timing(op Operator) Timing {
+	shrink := func(d time.Duration) time.Duration { return d - time.Duration(2*Drift*float64(d)) }
+	lease := Seconds(s.Deployment.Workers.LeaseS)
+	return Timing{
+		HolderLease: op.HolderLease,
+		Act:         shrink(op.HolderLease) - 100*time.Millisecond,
+		WorkerGone:  lease + time.Duration(2*Drift*float64(lease)) + s.Margin(),
+	}
+}
+
+func knownElements(file string, raw []byte) error {
+	dec := xml.NewDecoder(bytes.NewReader(raw))
+	var path []string
+	for {
+		tok, err := dec.Token()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return &FieldError{file, "syntax", err.Error()}
+		}
+		switch t := tok.(type) {
+		case xml.StartElement:
+			path = append(path, t.Name.Local)
+			name := strings.Join(path, "/")
+			if !operatorNames[name] {
+				line, _ := dec.InputPos()
+				return &FieldError{file, name, fmt.Sprintf("unknown element on line %d", line)}
+			}
+			if len(t.Attr) > 0 {
+				line, _ := dec.InputPos()
+				return &FieldError{file, name, fmt.Sprintf("unknown attribute %s on line %d", t.Attr[0].Name.Local, line)}
+			}
+		case xml.EndElement:
+			path = path[:len(path)-1]
+		}
+	}
+}
+
+func asDecode(err error, de **toml.DecodeError) bool { return errors.As(err, de) }
+
+func joinKey(k toml.Key) string { return strings.Join(k, ".") }
--- /dev/null
+++ b/internal/coordination/gossip.go
@@ -0,0 +1,154 @@
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"reedtrack/internal/storage"
+)
+
+// Status is what a controller tells the others about itself, twice a second.
+type Status struct {
+	From    string
+	Session uint64
+	Valid   bool
+	Shards  []ShardStatus
+	Bad     []string
+
+	at time.Time
+}
+
+// ShardStatus is what the holder of a shard has, uses and wants.
+type ShardStatus struct {
+	Index   int
+	Term    uint64
+	Ver     uint64
+	Rent    []rentWant
+	Fits    []kind
+	Used    map[string]storage.Amount
+	Wanted  map[string]storage.Amount
+	Running map[string]int
+}
+
+// Reply answers a Status; only the leader's says more than that it is there.
+type Reply struct {
+	From    string
+	Valid   bool
+	Lead    bool
+	Shards  []ShardReply
+	Refused []kind
+	Gone    []string
+}
+
+// ShardReply tells a holder which machines are on their way to its shard.
+type ShardReply struct {
+	Index  int
+	Ver    uint64
+	Coming []kind
+}
+
+const gossipEvery = 500 * time.Millisecond
+
+func (n *Node) gossipLoop(ctx context.Context, name string, p Peer) {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		st := n.status()
+		n.mu.Unlock()
+		var r Reply
+		if err := p.Call(time.Second, st, &r); err != nil {
+			slog.Debug("link", "peer", name, "err", err)
+		} else {
+			n.mu.Lock()
+			n.takeReply(&r)
+			n.mu.Unlock()
+		}
+		sleep(ctx, gossipEvery)
+	}
+}
+
+// status describes this controller.
+func (n *Node) status() *Status {
+	st := &Status{From: n.set.HostName, Session: n.session, Valid: n.valid(n.now())}
+	for id := range n.bad {
+		st.Bad = append(st.Bad, id)
+	}
+	if !st.Valid {
+		return st
+	}
+	for i, s := range n.shards {
+		ss := ShardStatus{Index: i, Term: s.term, Ver: s.comingVer, Rent: append([]rentWant(nil), s.rent...),
+			Fits: append([]kind(nil), s.fits...), Used: map[string]storage.Amount{},
+			Wanted: map[string]storage.Amount{}, Running: map[string]int{}}
+		for t, u := range s.used {
+			ss.Used[t] = u
+		}
+		for t, w := range s.wanted {
+			ss.Wanted[t] = w
+		}
+		for id, j := range s.jobs {
+			if k := len(j.runs); k > 0 {
+				ss.Running[id] = k
+			}
+		}
+		st.Shards = append(st.Shards, ss)
+	}
+	return st
+}
+
+// Hear takes in another controller's status and answers it.
+func (n *Node) Hear(st Status) Reply {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	st.at = now
+	n.others[st.From] = &st
+	r := Reply{From: n.set.HostName, Valid: n.valid(now)}
+	if n.lead != nil && r.Valid {
+		n.lead.hear(n, &st, now)
+		n.lead.answer(n, &st, &r, now)
+	}
+	return r
+}
+
+func (n *Node) takeReply(r *Reply) {
+	now := n.now()
+	if o := n.others[r.From]; o != nil {
+		o.Valid = r.Valid
+	}
+	if !r.Lead {
+		return
+	}
+	for _, sr := range r.Shards {
+		if s := n.shards[sr.Index]; s != nil && s.comingVer != sr.Ver {
+			s.comingVer, s.coming = sr.Ver, sr.Coming
+			s.rent = s.rent[:0] // worked out anew before it is told again
+			n.wake()
+		}
+	}
+	clear(n.refuse)
+	for _, k := range r.Refused {
+		n.refuse[k] = now.Add(4 * gossipEvery)
+	}
+	for _, id := range r.Gone {
+		n.gone[id] = true
+	}
+}
+
+// Up tells whether this controller should get users' requests: it can act, or
+// no other can either, as in an outage of the state service, when a quick
+// refusal serves users better than none.
+func (n *Node) Up() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	if n.valid(now) {
+		return true
+	}
+	for _, o := range n.others {
+		if o.Valid && now.Sub(o.at) < 4*gossipEvery {
+			return false
+		}
+	}
+	return n.loaded
+}
--- /dev/null
+++ b/internal/coordination/plan.go
@@ -0,0 +1,365 @@
+package coordination
+
+import (
+	"cmp"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"reedtrack/internal/placement"
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// planner is what a shard needs to know of the deployment to plan.
+type planner struct {
+	params  placement.Params
+	breeds  []protocol.Breed
+	teams   map[string]team
+	refused func(k kind) bool
+	report  time.Duration
+	usage   map[string]storage.Amount // of all shards
+}
+
+type team struct {
+	limit     storage.Amount // zero: no limit
+	guarantee storage.Amount
+}
+
+func (j *job) allows(breed, zone string, spot bool) bool {
+	return (j.breeds == nil || j.breeds[breed]) && (j.spec.Yard == "" || j.spec.Yard == zone) && (j.spec.Spot || !spot)
+}
+
+// zoneOK tells whether one more task may run in a zone beside the job's others.
+func (j *job) zoneOK(zone string) bool {
+	if !j.spec.OneZone && !j.spec.Spread {
+		return true
+	}
+	here := 0
+	for _, r := range j.runs {
+		if r.m.block.Zone == zone {
+			here++
+		} else if j.spec.OneZone {
+			return false
+		}
+	}
+	return !j.spec.Spread || here < (j.spec.Tasks+1)/2
+}
+
+// room tells how many more tasks of a job its team's share allows.
+func (s *shard) room(j *job, teams map[string]team, unknown storage.Amount) int {
+	t, used, share := teams[j.spec.Team], s.used[j.spec.Team], s.shares[j.spec.Team]
+	n := j.spec.Tasks
+	limit := func(max, have, spent, need float64) {
+		if max > 0 && need > 0 {
+			n = min(n, int((have-spent)/need+1e-9))
+		}
+	}
+	limit(t.limit.Cores, share.Cores, used.Cores+unknown.Cores, j.need[0])
+	limit(t.limit.Cards, share.Cards, used.Cards+unknown.Cards, j.need[1])
+	return max(n, 0)
+}
+
+// order sorts the jobs with startable tasks: those within a guarantee first,
+// then by urgency, then as they came.
+func (s *shard) order(now time.Time) []*job {
+	var jobs []*job
+	for _, j := range s.jobs {
+		if !j.ended && !j.unsure && !now.Before(j.notTill) && j.waiting() > 0 {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		if a.within != b.within {
+			if a.within {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(-cmp.Compare(a.spec.Level(), b.spec.Level()), cmp.Compare(a.atMS, b.atMS), cmp.Compare(a.id, b.id))
+	})
+	return jobs
+}
+
+type unfit struct {
+	job   *job
+	count int
+}
+
+// plan places waiting tasks, picks victims and works out what to rent.
+func (s *shard) plan(p *planner, now time.Time) {
+	machines := slices.SortedFunc(maps.Values(s.machines), func(a, b *machine) int {
+		return cmp.Compare(a.block.Machine, b.block.Machine)
+	})
+	unknown := s.unknown()
+	clear(s.wanted)
+	for name, u := range s.used {
+		s.wanted[name] = u
+	}
+	var left []unfit
+	for _, j := range s.order(now) {
+		waiting := j.waiting()
+		w := s.wanted[j.spec.Team]
+		w.Cores += float64(waiting) * j.need[0]
+		w.Cards += float64(waiting) * j.need[1]
+		s.wanted[j.spec.Team] = w
+		n := min(waiting, s.room(j, p.teams, unknown))
+		for n > 0 {
+			i := p.params.Best(len(machines), func(i int) (placement.Vector, placement.Vector, bool) {
+				m := machines[i]
+				free := m.free()
+				if !m.usable() || !free.Fits(j.need) || !j.allows(m.block.Breed, m.block.Zone, m.block.Spot) ||
+					!j.zoneOK(m.block.Zone) || j.errOn[m.block.Machine] {
+					return placement.Vector{}, placement.Vector{}, false
+				}
+				return free.Sub(j.need), m.size, true
+			})
+			if i < 0 {
+				break
+			}
+			t := j.take()
+			if t < 0 {
+				break
+			}
+			s.place(j, t, machines[i])
+			slog.Debug("placed", "job", j.id, "task", t, "machine", machines[i].block.Machine)
+			n--
+		}
+		if n > 0 {
+			left = append(left, unfit{j, n})
+		}
+	}
+	s.drain(machines, p, now)
+	left = s.preempt(left, machines, p, now)
+	s.wantMachines(left, p)
+	for _, m := range machines {
+		if len(m.runs) > 0 {
+			m.idle = now
+		}
+	}
+}
+
+// drain stops what can save itself on machines that will be taken.
+func (s *shard) drain(machines []*machine, p *planner, now time.Time) {
+	for _, m := range machines {
+		if m.takenAt.IsZero() && !m.bad {
+			continue
+		}
+		for _, r := range m.runs {
+			if !r.sent {
+				s.drop(r)
+				continue
+			}
+			save := r.job.spec.SaveTake
+			if m.bad {
+				r.halt, r.mercy = true, save
+			} else if r.job.spec.SaveS > 0 && m.takenAt.Sub(now) < time.Duration((save+1)*float64(time.Second))+p.report*3/2 {
+				r.halt, r.mercy = true, save
+			}
+		}
+	}
+}
+
+// preempt stops work of lower priority, or beyond a guarantee, for jobs that
+// nothing else will serve soon. It returns what remains unserved.
+func (s *shard) preempt(left []unfit, machines []*machine, p *planner, now time.Time) []unfit {
+	freed := make([]placement.Vector, len(machines))
+	for i, m := range machines {
+		freed[i] = m.free()
+		for _, r := range m.runs {
+			if r.halt {
+				freed[i] = freed[i].Add(r.job.need)
+			}
+		}
+	}
+	var rest []unfit
+	for _, u := range left {
+		j := u.job
+		n := u.count
+		eager := (j.within || j.spec.Level() >= protocol.High) && now.Sub(j.at) > 2*p.report
+		for n > 0 {
+			best, low := -1, 0.0
+			var pick []*run
+			for i, m := range machines {
+				if !m.usable() || !j.allows(m.block.Breed, m.block.Zone, m.block.Spot) || !j.zoneOK(m.block.Zone) || j.errOn[m.block.Machine] {
+					continue
+				}
+				if freed[i].Fits(j.need) {
+					best, pick = i, nil
+					break
+				}
+				if !eager {
+					continue
+				}
+				runs, victims := s.victims(j, m, p, now)
+				idx, loss := placement.Preempt(freed[i], j.need, victims)
+				if len(idx) > 0 && (best < 0 || loss < low) {
+					best, low, pick = i, loss, nil
+					for _, k := range idx {
+						pick = append(pick, runs[k])
+					}
+				}
+			}
+			if best < 0 {
+				break
+			}
+			for _, r := range pick {
+				slog.Info("preempting", "job", r.key.job, "task", r.key.task, "for", j.id, "machine", r.m.block.Machine)
+				freed[best] = freed[best].Add(r.job.need)
+				if !r.sent {
+					s.drop(r)
+					continue
+				}
+				r.halt, r.mercy = true, r.job.spec.SaveTake
+			}
+			freed[best] = freed[best].Sub(j.need)
+			n--
+		}
+		if n > 0 {
+			rest = append(rest, unfit{j, n})
+		}
+	}
+	return rest
+}
+
+// victims lists what may be stopped on a machine in favour of a job.
+func (s *shard) victims(j *job, m *machine, p *planner, now time.Time) ([]*run, []placement.Victim) {
+	var runs []*run
+	var victims []placement.Victim
+	for _, r := range m.runs {
+		v := r.job
+		if r.halt || v.ended {
+			continue
+		}
+		lower := v.spec.Level() < j.spec.Level() && (j.within || !v.within)
+		g := p.teams[v.spec.Team].guarantee
+		beyond := j.within && !v.within && v.spec.Team != j.spec.Team &&
+			p.usage[v.spec.Team].Cores-v.need[0] >= g.Cores && p.usage[v.spec.Team].Cards-v.need[1] >= g.Cards
+		if !lower && !beyond {
+			continue
+		}
+		lost := 0.0
+		if !r.began.IsZero() {
+			lost = now.Sub(r.began).Seconds()
+			if v.spec.SaveS > 0 {
+				lost = min(lost, v.spec.SaveTake)
+			}
+		}
+		runs = append(runs, r)
+		victims = append(victims, placement.Victim{Need: v.need, Loss: (lost + 1) * max(v.need[0], 0.1)})
+	}
+	return runs, victims
+}
+
+// wantMachines works out which machines to rent for tasks that fit nowhere:
+// first those already on their way are filled, then the best-scoring type is
+// added for each task that is left.
+func (s *shard) wantMachines(left []unfit, p *planner) {
+	type bin struct {
+		k          kind
+		free, size placement.Vector
+		fresh      bool
+	}
+	size := map[string]placement.Vector{}
+	for _, b := range p.breeds {
+		size[b.Name] = sizeOf(b)
+	}
+	var bins []*bin
+	for _, k := range s.coming {
+		bins = append(bins, &bin{k, size[k.Breed], size[k.Breed], false})
+	}
+	s.fits = s.fits[:0]
+	for _, u := range left {
+		j := u.job
+		kinds := j.kinds(p)
+		for _, k := range kinds {
+			if !slices.Contains(s.fits, k) {
+				s.fits = append(s.fits, k)
+			}
+		}
+		for range u.count {
+			i := p.params.Best(len(bins), func(i int) (placement.Vector, placement.Vector, bool) {
+				b := bins[i]
+				ok := b.free.Fits(j.need) && j.allows(b.k.Breed, b.k.Zone, b.k.Spot)
+				return b.free.Sub(j.need), b.size, ok
+			})
+			if i < 0 {
+				k, ok := s.bestKind(j, kinds, p, size)
+				if !ok {
+					break
+				}
+				bins = append(bins, &bin{k, size[k.Breed], size[k.Breed], true})
+				i = len(bins) - 1
+			}
+			bins[i].free = bins[i].free.Sub(j.need)
+		}
+	}
+	count := map[kind]int{}
+	for _, b := range bins {
+		if b.fresh {
+			count[b.k]++
+		}
+	}
+	s.rent = s.rent[:0]
+	for k, n := range count {
+		s.rent = append(s.rent, rentWant{k, n})
+	}
+	slices.SortFunc(s.rent, func(a, b rentWant) int {
+		return cmp.Or(cmp.Compare(a.Kind.Breed, b.Kind.Breed), cmp.Compare(a.Kind.Zone, b.Kind.Zone))
+	})
+}
+
+// kinds lists the machines on which a job's tasks may run, in catalog order.
+func (j *job) kinds(p *planner) []kind {
+	var out []kind
+	for _, b := range p.breeds {
+		if !sizeOf(b).Fits(j.need) {
+			continue
+		}
+		for _, z := range b.Zones {
+			for _, spot := range []bool{true, false} {
+				if j.allows(b.Name, z, spot) {
+					out = append(out, kind{b.Name, z, spot})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// bestKind picks what to rent: spot machines where any can be had, and among
+// those the best-scoring type, in the zone with the fewest of ours.
+func (s *shard) bestKind(j *job, kinds []kind, p *planner, size map[string]placement.Vector) (kind, bool) {
+	var can []kind
+	for _, spot := range []bool{true, false} {
+		for _, k := range kinds {
+			if k.Spot == spot && !p.refused(k) && j.zoneOK(k.Zone) {
+				can = append(can, k)
+			}
+		}
+		if len(can) > 0 {
+			break
+		}
+	}
+	if len(can) == 0 {
+		return kind{}, false
+	}
+	inZone := map[string]int{}
+	for _, m := range s.machines {
+		inZone[m.block.Zone]++
+	}
+	for _, k := range s.coming {
+		inZone[k.Zone]++
+	}
+	slices.SortStableFunc(can, func(a, b kind) int { return inZone[a.Zone] - inZone[b.Zone] })
+	i := p.params.Best(len(can), func(i int) (placement.Vector, placement.Vector, bool) {
+		v := size[can[i].Breed]
+		return v.Sub(j.need), v, true
+	})
+	return can[i], true
+}
+
+func sizeOf(b protocol.Breed) placement.Vector {
+	return placement.Vector{b.Cores, b.Cards, b.RAM}
+}
--- /dev/null
+++ b/internal/coordination/service.go
@@ -0,0 +1,86 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+
+	"reedtrack/internal/protocol"
+)
+
+// Service answers HTTP requests for a controller.
+type Service struct{ Node *Node }
+
+func refuse(err error) (int, any) {
+	var bad *protocol.BadField
+	var never *ErrNever
+	switch {
+	case errors.As(err, &bad):
+		return http.StatusBadRequest, protocol.Failure{Error: bad.Error(), Field: bad.Field}
+	case errors.As(err, &never):
+		return http.StatusUnprocessableEntity, protocol.Failure{Error: never.Error(), Field: never.Field}
+	}
+	return http.StatusServiceUnavailable, protocol.Failure{Error: err.Error()}
+}
+
+// Submit answers POST /v1/jobs.
+func (s Service) Submit(ctx context.Context, body []byte) (int, any) {
+	j, err := protocol.ParseJob(body)
+	if err != nil {
+		slog.Info("submission refused", "err", err)
+		return refuse(err)
+	}
+	st, known, err := s.Node.Submit(ctx, j)
+	if err != nil {
+		slog.Info("submission refused", "job", j.ID, "err", err)
+		return refuse(err)
+	}
+	if known {
+		return http.StatusOK, st
+	}
+	return http.StatusCreated, st
+}
+
+// Poll answers GET /v1/jobs/{id}.
+func (s Service) Poll(ctx context.Context, id string) (int, any) {
+	return s.about(ctx, id, s.Node.Poll)
+}
+
+// Withdraw answers POST /v1/jobs/{id}/withdraw.
+func (s Service) Withdraw(ctx context.Context, id string) (int, any) {
+	return s.about(ctx, id, s.Node.Withdraw)
+}
+
+func (s Service) about(ctx context.Context, id string, do func(context.Context, string) (protocol.JobStatus, bool, error)) (int, any) {
+	if !protocol.ValidJobID(id) {
+		return http.StatusNotFound, protocol.Failure{Error: "no such job"}
+	}
+	st, found, err := do(ctx, id)
+	if err != nil {
+		return refuse(err)
+	}
+	if !found {
+		return http.StatusNotFound, protocol.Failure{Error: "no such job"}
+	}
+	return http.StatusOK, st
+}
+
+// Checkin answers POST /checkin.
+func (s Service) Checkin(body []byte) (int, any) {
+	r, err := protocol.ParseReport(body)
+	if err != nil {
+		return refuse(err)
+	}
+	status, orders, to := s.Node.Checkin(r)
+	switch status {
+	case http.StatusOK:
+		return status, orders
+	case http.StatusMisdirectedRequest:
+		return status, protocol.Redirect{AnswerTo: to}
+	}
+	return status, protocol.Failure{Error: "not in charge"}
+}
+
+// Up answers GET /up.
+func (s Service) Up() bool { return s.Node.Up() }
--- /dev/null
+++ b/internal/coordination/shard.go
@@ -0,0 +1,328 @@
+package coordination
+
+import (
+	"time"
+
+	"reedtrack/internal/placement"
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// taskKey names a task within a shard.
+type taskKey struct {
+	job  string
+	task int
+}
+
+// run is a task that is, or may be, on a machine: from its placement until a
+// report shows that it is gone or its machine's lease has run out.
+type run struct {
+	key     taskKey
+	job     *job
+	m       *machine
+	try     uint64
+	status  string
+	sent    bool      // the start has gone out, or a report showed the task
+	began   time.Time // first seen running
+	sentAt  time.Time
+	halt    bool // wanted gone
+	mercy   float64
+	haltOut time.Time
+}
+
+// job is an accepted job that has not ended.
+type job struct {
+	id     string
+	spec   protocol.Job
+	stamp  uint64
+	shard  int
+	at     time.Time
+	atMS   int64
+	need   placement.Vector
+	breeds map[string]bool // nil: any
+	done   storage.Set
+	saved  int // how many of done are in the record
+	savedT time.Time
+	saving bool
+	runs   map[int]*run
+	again  []int
+	next   int
+	// unsure jobs may have tasks running that nobody has reported yet: they
+	// were accepted before this controller took the shard over. No task of
+	// theirs starts until the shard has settled.
+	unsure bool
+	// ended: the record is gone; tasks left are to be halted.
+	ended bool
+	// within: the job fits into its team's guarantee.
+	within  bool
+	errOn   map[string]bool
+	backoff time.Duration
+	notTill time.Time
+}
+
+func (j *job) complete() bool { return j.done.Len() >= j.spec.Tasks }
+
+// waiting counts tasks that are neither done nor placed.
+func (j *job) waiting() int {
+	n := j.spec.Tasks - j.done.Len()
+	for t := range j.runs {
+		if !j.done.Has(t) {
+			n--
+		}
+	}
+	return n
+}
+
+// take returns a waiting task, or -1.
+func (j *job) take() int {
+	for len(j.again) > 0 {
+		t := j.again[len(j.again)-1]
+		j.again = j.again[:len(j.again)-1]
+		if !j.done.Has(t) && j.runs[t] == nil {
+			return t
+		}
+	}
+	for ; j.next < j.spec.Tasks; j.next++ {
+		if !j.done.Has(j.next) && j.runs[j.next] == nil {
+			j.next++
+			return j.next - 1
+		}
+	}
+	return -1
+}
+
+// machine is a block leased to a shard.
+type machine struct {
+	block   storage.Block
+	size    placement.Vector
+	used    placement.Vector
+	address string
+	stint   uint64
+	tally   uint64
+	runs    map[taskKey]*run
+	cleared map[taskKey]uint64 // ended tasks to be forgotten by the worker
+	stray   map[taskKey]uint64 // tasks that have no business here, to be halted
+	// settled: the worker has reported with this holder's baton, or has been
+	// silent for so long that its tasks are gone. Only then is a task that it
+	// does not list absent.
+	settled  bool
+	heard    bool      // has reported to this holder
+	answered time.Time // last answer that may have renewed the worker's lease
+	expired  bool
+	takenAt  time.Time // when the cloud takes it away; zero: not known
+	errs     int
+	bad      bool // to be replaced
+	release  bool // being given back; sticky until the grant lacks it
+	idle     time.Time
+}
+
+func (m *machine) free() placement.Vector { return m.size.Sub(m.used) }
+
+// usable tells whether new tasks may be placed on the machine.
+func (m *machine) usable() bool {
+	return m.settled && m.heard && !m.expired && !m.bad && !m.release && m.takenAt.IsZero() && len(m.stray) == 0
+}
+
+// shard is a unit of jobs, blocks and quota shares held by this controller.
+type shard struct {
+	index    int
+	term     uint64
+	stamp    uint64
+	since    time.Time
+	machines map[string]*machine
+	jobs     map[string]*job
+	shares   map[string]storage.Amount
+	used     map[string]storage.Amount
+	settled  bool
+	tries    uint64
+	// what the leader last said
+	coming    []kind
+	comingVer uint64
+	// what this controller wants of the leader
+	rent   []rentWant
+	wanted map[string]storage.Amount
+	fits   []kind
+	writes bool // a grant write is under way
+}
+
+// kind is a type of machine, in a zone, spot or ordinary.
+type kind struct {
+	Breed string
+	Zone  string
+	Spot  bool
+}
+
+type rentWant struct {
+	Kind  kind
+	Count int
+}
+
+func newShard(index int, rec storage.Shard, stamp uint64, now time.Time) *shard {
+	return &shard{index: index, term: rec.Term, stamp: stamp, since: now,
+		machines: map[string]*machine{}, jobs: map[string]*job{},
+		shares: map[string]storage.Amount{}, used: map[string]storage.Amount{}, wanted: map[string]storage.Amount{}}
+}
+
+// baton is what workers of this machine are given: the term of the shard's
+// lease or of the block's own, whichever is newer.
+func (s *shard) baton(m *machine) uint64 { return max(s.term, m.block.Term) }
+
+// setGrant takes over a changed grant record.
+func (s *shard) setGrant(g storage.Grant, size func(string) (placement.Vector, bool), now time.Time) {
+	s.shares = g.Shares
+	if s.shares == nil {
+		s.shares = map[string]storage.Amount{}
+	}
+	have := map[string]bool{}
+	for _, b := range g.Blocks {
+		have[b.Machine] = true
+		if m := s.machines[b.Machine]; m != nil {
+			if b.Term > m.block.Term {
+				// Given back and granted anew.
+				delete(s.machines, b.Machine)
+			} else {
+				continue
+			}
+		}
+		v, _ := size(b.Breed)
+		s.machines[b.Machine] = &machine{block: b, size: v, runs: map[taskKey]*run{},
+			cleared: map[taskKey]uint64{}, stray: map[taskKey]uint64{}, answered: now, idle: now,
+			// A block granted under this very lease was empty, and nobody
+			// else can have started anything on it since.
+			settled: b.Term > s.term}
+		s.settled = s.settled && b.Term > s.term
+	}
+	for id, m := range s.machines {
+		if !have[id] {
+			for _, r := range m.runs {
+				s.drop(r)
+			}
+			delete(s.machines, id)
+		}
+	}
+}
+
+// addJob takes a job into the shard, or notes its record's new stamp.
+func (s *shard) addJob(j *job) {
+	if old := s.jobs[j.id]; old != nil {
+		old.stamp = j.stamp
+		return
+	}
+	// A record older than the lease may belong to tasks that the former
+	// holder started.
+	j.unsure = j.stamp <= s.stamp
+	j.runs = map[int]*run{}
+	s.jobs[j.id] = j
+}
+
+// endJob marks a job whose record is gone; what still runs must go.
+func (s *shard) endJob(id string) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	j.ended = true
+	for _, r := range j.runs {
+		if !r.sent {
+			s.drop(r)
+			continue
+		}
+		r.halt, r.mercy = true, 0
+		r.haltOut = time.Time{}
+	}
+	delete(s.jobs, id)
+}
+
+// place puts a task on a machine; the start goes out with its next answer.
+func (s *shard) place(j *job, task int, m *machine) *run {
+	s.tries++
+	r := &run{key: taskKey{j.id, task}, job: j, m: m, try: s.term<<20 + s.tries}
+	s.attach(r)
+	return r
+}
+
+func (s *shard) attach(r *run) {
+	r.m.runs[r.key] = r
+	r.m.used = r.m.used.Add(r.job.need)
+	r.job.runs[r.key.task] = r
+	u := s.used[r.job.spec.Team]
+	u.Cores += r.job.need[0]
+	u.Cards += r.job.need[1]
+	s.used[r.job.spec.Team] = u
+}
+
+// drop forgets a run that is certainly not on its machine any more.
+func (s *shard) drop(r *run) {
+	if r.m.runs[r.key] != r {
+		return
+	}
+	delete(r.m.runs, r.key)
+	r.m.used = r.m.used.Sub(r.job.need)
+	if r.job.runs[r.key.task] == r {
+		delete(r.job.runs, r.key.task)
+	}
+	if !r.job.done.Has(r.key.task) {
+		r.job.again = append(r.job.again, r.key.task)
+	}
+	u := s.used[r.job.spec.Team]
+	u.Cores -= r.job.need[0]
+	u.Cards -= r.job.need[1]
+	if u.Cores < 1e-6 {
+		u.Cores = 0
+	}
+	if u.Cards < 1e-6 {
+		u.Cards = 0
+	}
+	s.used[r.job.spec.Team] = u
+}
+
+// unknown sums the machines that may run tasks nobody has reported: each
+// counts in full against every team.
+func (s *shard) unknown() storage.Amount {
+	var a storage.Amount
+	for _, m := range s.machines {
+		if !m.settled || len(m.stray) > 0 {
+			a.Cores += max(0, m.size[0]-m.used[0])
+			a.Cards += max(0, m.size[1]-m.used[1])
+		}
+	}
+	return a
+}
+
+// settle notes whether every machine has been accounted for; from then on a
+// task that nobody lists is absent.
+func (s *shard) settle() {
+	if s.settled {
+		return
+	}
+	for _, m := range s.machines {
+		if !m.settled {
+			return
+		}
+	}
+	s.settled = true
+	for _, j := range s.jobs {
+		j.unsure = false
+	}
+}
+
+// silent drops the tasks of machines that have been silent for longer than
+// their workers' lease.
+func (s *shard) silent(now time.Time, gone time.Duration) {
+	for _, m := range s.machines {
+		if !m.expired && now.Sub(m.answered) > gone {
+			s.lost(m)
+		}
+	}
+	s.settle()
+}
+
+// lost accounts for a machine that has certainly dropped all its tasks.
+func (s *shard) lost(m *machine) {
+	m.expired, m.settled = true, true
+	clear(m.stray)
+	clear(m.cleared)
+	for _, r := range m.runs {
+		s.drop(r)
+	}
+}
--- /dev/null
+++ b/internal/protocol/user.go
@@ -0,0 +1,201 @@
+// Package protocol holds the wire types of every interface and checks what
+// comes in. Names that appear on the wire stay in this package.
+package protocol
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// MaxBody bounds a request body.
+const MaxBody = 64 << 10
+
+// Urgency orders jobs; a larger one comes first.
+type Urgency uint8
+
+const (
+	Low Urgency = iota
+	Normal
+	High
+	Prod
+)
+
+var urgencies = map[string]Urgency{"low": Low, "normal": Normal, "high": High, "prod": Prod}
+
+// Job is a submission as it came in and as it is kept.
+type Job struct {
+	ID       string   `json:"id"`
+	Class    string   `json:"jobclass"`
+	Team     string   `json:"owner"`
+	Shape    string   `json:"shape"`
+	Urgency  string   `json:"urgency"`
+	Tasks    int      `json:"parts"`
+	Cores    float64  `json:"cores"`
+	Cards    float64  `json:"cards"`
+	RAM      float64  `json:"ram_gb"`
+	Image    string   `json:"bundle"`
+	ImageGB  float64  `json:"pull_gb"`
+	Breeds   []string `json:"breeds,omitempty"`
+	Yard     string   `json:"yard,omitempty"`
+	OneZone  bool     `json:"one_zone,omitempty"`
+	Spread   bool     `json:"spread,omitempty"`
+	Spot     bool     `json:"loaners,omitempty"`
+	GuessS   float64  `json:"guess_s"`
+	SaveS    float64  `json:"save_every_s,omitempty"`
+	SaveTake float64  `json:"save_takes_s,omitempty"`
+	DueS     *float64 `json:"due_s,omitempty"`
+}
+
+// Standing tells whether the job's tasks run until it is cancelled.
+func (j *Job) Standing() bool { return j.Shape == "standing" }
+
+// Level is the job's urgency as a number.
+func (j *Job) Level() Urgency { return urgencies[j.Urgency] }
+
+// Statuses of a job as users see them.
+const (
+	Pending   = "pending"
+	Running   = "running"
+	Done      = "done"
+	Withdrawn = "withdrawn"
+)
+
+// JobStatus answers users.
+type JobStatus struct {
+	ID      string `json:"id"`
+	Status  string `json:"status"`
+	Done    int    `json:"done"`
+	Running int    `json:"running"`
+}
+
+// Failure is the body of an answer that refuses.
+type Failure struct {
+	Error string `json:"error"`
+	Field string `json:"field,omitempty"`
+}
+
+// BadField says which field of a message is wrong.
+type BadField struct{ Field, Reason string }
+
+func (e *BadField) Error() string { return e.Field + ": " + e.Reason }
+
+var jobID = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
+
+// ValidJobID tells whether id has the form that users give their jobs.
+func ValidJobID(id string) bool { return jobID.MatchString(id) }
+
+// ParseJob reads a submission. Every error is a *BadField.
+func ParseJob(raw []byte) (*Job, error) {
+	if len(raw) > MaxBody {
+		return nil, &BadField{"body", "over 64 KiB"}
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &fields); err != nil || fields == nil {
+		return nil, &BadField{"body", "not a JSON object"}
+	}
+	j := new(Job)
+	null := func(name string) bool {
+		v, ok := fields[name]
+		return !ok || bytes.Equal(bytes.TrimSpace(v), []byte("null"))
+	}
+	read := func(name string, to any, what string) error {
+		if null(name) {
+			return &BadField{name, "missing"}
+		}
+		if err := json.Unmarshal(fields[name], to); err != nil {
+			return &BadField{name, "must be " + what}
+		}
+		return nil
+	}
+	for name, to := range map[string]*string{"id": &j.ID, "jobclass": &j.Class, "owner": &j.Team,
+		"shape": &j.Shape, "urgency": &j.Urgency, "bundle": &j.Image} {
+		if err := read(name, to, "a string"); err != nil {
+			return nil, err
+		}
+		if *to == "" || len(*to) > 200 {
+			return nil, &BadField{name, "must hold 1 to 200 bytes"}
+		}
+	}
+	if !ValidJobID(j.ID) {
+		return nil, &BadField{"id", "must look like wk-000412"}
+	}
+	if j.Shape != "array" && j.Shape != "standing" {
+		return nil, &BadField{"shape", "must be array or standing"}
+	}
+	if _, ok := urgencies[j.Urgency]; !ok {
+		return nil, &BadField{"urgency", "must be prod, high, normal or low"}
+	}
+	var n json.Number
+	if err := read("parts", &n, "a whole number"); err != nil {
+		return nil, err
+	}
+	parts, err := strconv.Atoi(n.String())
+	if err != nil || parts < 1 || parts > 100000 {
+		return nil, &BadField{"parts", "must be a whole number from 1 to 100000"}
+	}
+	j.Tasks = parts
+	amount := func(name string, to *float64) error {
+		if err := read(name, to, "a number"); err != nil {
+			return err
+		}
+		if *to < 0 || math.IsNaN(*to) || math.IsInf(*to, 0) {
+			return &BadField{name, "must not be negative"}
+		}
+		return nil
+	}
+	for name, to := range map[string]*float64{"cores": &j.Cores, "cards": &j.Cards, "ram_gb": &j.RAM,
+		"pull_gb": &j.ImageGB, "guess_s": &j.GuessS, "save_every_s": &j.SaveS, "save_takes_s": &j.SaveTake} {
+		if err := amount(name, to); err != nil {
+			return nil, err
+		}
+	}
+	for name, to := range map[string]*bool{"one_zone": &j.OneZone, "spread": &j.Spread, "loaners": &j.Spot} {
+		if err := read(name, to, "true or false"); err != nil {
+			return nil, err
+		}
+	}
+	if !null("breeds") {
+		if err := read("breeds", &j.Breeds, "a list of strings"); err != nil {
+			return nil, err
+		}
+		if len(j.Breeds) == 0 {
+			return nil, &BadField{"breeds", "must be null or name a type"}
+		}
+	}
+	if !null("yard") {
+		if err := read("yard", &j.Yard, "a string"); err != nil {
+			return nil, err
+		}
+		if j.Yard == "" {
+			return nil, &BadField{"yard", "must be null or name a zone"}
+		}
+	}
+	if !null("due_s") {
+		j.DueS = new(float64)
+		if err := amount("due_s", j.DueS); err != nil {
+			return nil, err
+		}
+	}
+	return j, nil
+}
+
+// TaskName is the name of a job's task on the wire.
+func TaskName(job string, task int) string { return job + "/" + strconv.Itoa(task) }
+
+// SplitTask takes a task's name apart.
+func SplitTask(name string) (job string, task int, err error) {
+	job, num, ok := strings.Cut(name, "/")
+	if !ok || !ValidJobID(job) {
+		return "", 0, fmt.Errorf("task %q", name)
+	}
+	task, err = strconv.Atoi(num)
+	if err != nil || task < 0 || strconv.Itoa(task) != num {
+		return "", 0, fmt.Errorf("task %q", name)
+	}
+	return job, task, nil
+}
--- /dev/null
+++ b/internal/storage/ranges.go
@@ -0,0 +1,105 @@
+package storage
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Set is a set of task numbers that is written as ranges ("0-3,7"). Numbers
+// are kept in base 36, so that a job of 100,000 tasks stays within a value for
+// any order in which tasks usually end.
+type Set struct {
+	bits []uint64
+	n    int
+}
+
+// Has tells whether i is in the set.
+func (s *Set) Has(i int) bool {
+	return i>>6 < len(s.bits) && s.bits[i>>6]&(1<<(i&63)) != 0
+}
+
+// Add puts i into the set and tells whether it was new.
+func (s *Set) Add(i int) bool {
+	if s.Has(i) {
+		return false
+	}
+	for i>>6 >= len(s.bits) {
+		s.bits = append(s.bits, 0)
+	}
+	s.bits[i>>6] |= 1 << (i & 63)
+	s.n++
+	return true
+}
+
+// Len counts the set.
+func (s *Set) Len() int { return s.n }
+
+func (s *Set) String() string {
+	var b strings.Builder
+	for i := 0; i < len(s.bits)*64; i++ {
+		if !s.Has(i) {
+			continue
+		}
+		j := i
+		for s.Has(j + 1) {
+			j++
+		}
+		if b.Len() > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatInt(int64(i), 36))
+		if j > i {
+			b.WriteByte('-')
+			b.WriteString(strconv.FormatInt(int64(j), 36))
+		}
+		i = j
+	}
+	return b.String()
+}
+
+// ParseSet reads what String wrote, for numbers below most.
+func ParseSet(text string, most int) (Set, error) {
+	var s Set
+	if text == "" {
+		return s, nil
+	}
+	for _, r := range strings.Split(text, ",") {
+		from, to, span := strings.Cut(r, "-")
+		if !span {
+			to = from
+		}
+		i, err1 := strconv.ParseInt(from, 36, 32)
+		j, err2 := strconv.ParseInt(to, 36, 32)
+		if err1 != nil || err2 != nil || i < 0 || j < i || int(j) >= most {
+			return Set{}, fmt.Errorf("range %q", r)
+		}
+		for ; i <= j; i++ {
+			s.Add(int(i))
+		}
+	}
+	return s, nil
+}
+
+// Fit shortens the text of the set to at most limit bytes by leaving out the
+// shortest ranges: a task left out is only run again, and its result is kept
+// by the worker's side.
+func (s *Set) Fit(limit int) string {
+	text := s.String()
+	for least := 2; len(text) > limit; least *= 2 {
+		var kept []string
+		for _, r := range strings.Split(text, ",") {
+			from, to, span := strings.Cut(r, "-")
+			if !span {
+				continue
+			}
+			i, _ := strconv.ParseInt(from, 36, 32)
+			j, _ := strconv.ParseInt(to, 36, 32)
+			if int(j-i)+1 >= least {
+				kept = append(kept, r)
+			}
+		}
+		text = strings.Join(kept, ",")
+	}
+	return text
+}
--- /dev/null
+++ b/internal/storage/ranges_test.go
@@ -0,0 +1,45 @@
+package storage
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Set against a map, through its text and back.
+func TestSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most = 300
+		var s Set
+		model := map[int]bool{}
+		for _, i := range rapid.SliceOf(rapid.IntRange(0, most-1)).Draw(t, "adds") {
+			if s.Add(i) == model[i] {
+				t.Fatalf("Add(%d) does not tell whether it was new", i)
+			}
+			model[i] = true
+		}
+		limit := rapid.IntRange(0, 200).Draw(t, "limit")
+		whole, err := ParseSet(s.String(), most)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := s.Fit(limit)
+		part, err := ParseSet(text, most)
+		if err != nil || len(text) > limit {
+			t.Fatalf("Fit(%d) = %q: %v", limit, text, err)
+		}
+		if whole.Len() != len(model) {
+			t.Fatalf("%d of %d came back", whole.Len(), len(model))
+		}
+		for i := range most {
+			if whole.Has(i) != model[i] || part.Has(i) && !model[i] {
+				t.Fatalf("%d is wrong in %q or %q", i, s.String(), text)
+			}
+		}
+	})
+	for _, bad := range []string{"x-", "5-2", "-1", "zzzz", "1,,2"} {
+		if _, err := ParseSet(bad, 1000); err == nil {
+			t.Errorf("%q was read", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,129 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"reedtrack/internal/protocol"
+)
+
+// Service is what the HTTP server fronts.
+type Service interface {
+	Submit(ctx context.Context, body []byte) (status int, answer any)
+	Poll(ctx context.Context, id string) (status int, answer any)
+	Withdraw(ctx context.Context, id string) (status int, answer any)
+	Checkin(body []byte) (status int, answer any)
+	Up() bool
+}
+
+// NewServer returns the server for users, workers and health checks. Requests
+// of users beyond most at once are refused, so that reports and health checks
+// always get through.
+func NewServer(s Service, most int) *http.Server {
+	e := echo.New()
+	slots := make(chan struct{}, most)
+	user := func(f func(c echo.Context) (int, any)) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			select {
+			case slots <- struct{}{}:
+				defer func() { <-slots }()
+				return reply(c)(f(c))
+			default:
+				return reply(c)(http.StatusTooManyRequests, protocol.Failure{Error: "too many requests"})
+			}
+		}
+	}
+	e.GET("/up", func(c echo.Context) error {
+		if s.Up() {
+			return c.NoContent(http.StatusOK)
+		}
+		return c.NoContent(http.StatusServiceUnavailable)
+	})
+	e.POST("/checkin", func(c echo.Context) error {
+		// A report lists every task of its machine and may be long; a line
+		// is never bounded by what users may send.
+		raw, err := readBody(c, 8<<20)
+		if err != nil {
+			return reply(c)(http.StatusBadRequest, protocol.Failure{Error: err.Error(), Field: "body"})
+		}
+		return reply(c)(s.Checkin(raw))
+	})
+	e.POST("/v1/jobs", user(func(c echo.Context) (int, any) {
+		raw, err := readBody(c, protocol.MaxBody)
+		if err != nil {
+			return http.StatusBadRequest, protocol.Failure{Error: err.Error(), Field: "body"}
+		}
+		return s.Submit(c.Request().Context(), raw)
+	}))
+	e.GET("/v1/jobs/:id", user(func(c echo.Context) (int, any) {
+		return s.Poll(c.Request().Context(), c.Param("id"))
+	}))
+	e.POST("/v1/jobs/:id/withdraw", user(func(c echo.Context) (int, any) {
+		return s.Withdraw(c.Request().Context(), c.Param("id"))
+	}))
+	return &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 3 * time.Minute, MaxHeaderBytes: 16 << 10}
+}
+
+func reply(c echo.Context) func(status int, answer any) error {
+	return func(status int, answer any) error {
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			c.Response().Header().Set("Retry-After", "1")
+		}
+		return c.JSON(status, answer)
+	}
+}
+
+var errLong = errors.New("body is too long")
+
+func readBody(c echo.Context, most int64) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, most+1))
+	if err == nil && int64(len(raw)) > most {
+		err = errLong
+	}
+	return raw, err
+}
+
+// LimitListener bounds how many connections a listener has open; beyond that
+// new ones are closed at once, so that the process never runs out of sockets.
+func LimitListener(ln net.Listener, most int) net.Listener {
+	return &limited{ln, make(chan struct{}, most)}
+}
+
+type limited struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return &limitedConn{Conn: c, slots: l.slots}, nil
+		default:
+			c.Close()
+		}
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	slots chan struct{}
+	once  sync.Once
+}
+
+func (c *limitedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { <-c.slots })
+	return err
+}
