--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -105,27 +105,17 @@
 		w.Cards += float64(waiting) * j.need[1]
 		s.wanted[j.spec.Team] = w
 		n := min(waiting, s.room(j, p.teams, unknown))
-		for n > 0 {
-			i := p.params.Best(len(machines), func(i int) (placement.Vector, placement.Vector, bool) {
-				m := machines[i]
-				free := m.free()
-				if !m.usable() || !free.Fits(j.need) || !j.allows(m.block.Breed, m.block.Zone, m.block.Spot) ||
-					!j.zoneOK(m.block.Zone) || j.errOn[m.block.Machine] {
-					return placement.Vector{}, placement.Vector{}, false
-				}
-				return free.Sub(j.need), m.size, true
-			})
-			if i < 0 {
-				break
-			}
-			t := j.take()
-			if t < 0 {
-				break
+		if j.spec.Group() && n < waiting {
+			continue // a gang starts whole or not at all
+		}
+		placed := s.spread(j, n, machines, p)
+		if j.spec.Group() && len(placed) < n {
+			for _, r := range placed {
+				s.drop(r)
 			}
-			s.place(j, t, machines[i])
-			slog.Debug("placed", "job", j.id, "task", t, "machine", machines[i].block.Machine)
-			n--
+			placed = nil
 		}
+		n -= len(placed)
 		if n > 0 {
 			left = append(left, unfit{j, n})
 		}
@@ -140,6 +130,33 @@
 	}
 }
 
+// spread places up to n tasks of a job, each on the machine with the lowest
+// score after it.
+func (s *shard) spread(j *job, n int, machines []*machine, p *planner) []*run {
+	var placed []*run
+	for len(placed) < n {
+		i := p.params.Best(len(machines), func(i int) (placement.Vector, placement.Vector, bool) {
+			m := machines[i]
+			free := m.free()
+			if !m.usable() || !free.Fits(j.need) || !j.allows(m.block.Breed, m.block.Zone, m.block.Spot) ||
+				!j.zoneOK(m.block.Zone) || j.errOn[m.block.Machine] {
+				return placement.Vector{}, placement.Vector{}, false
+			}
+			return free.Sub(j.need), m.size, true
+		})
+		if i < 0 {
+			break
+		}
+		t := j.take()
+		if t < 0 {
+			break
+		}
+		placed = append(placed, s.place(j, t, machines[i]))
+		slog.Debug("placed", "job", j.id, "task", t, "machine", machines[i].block.Machine)
+	}
+	return placed
+}
+
 // drain stops what can save itself on machines that will be taken.
 func (s *shard) drain(machines []*machine, p *planner, now time.Time) {
 	for _, m := range machines {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -84,7 +84,7 @@
 		return &ErrNever{"cores", "a task fits no allowed machine type"}
 	}
 	count := 1.0
-	if j.Standing() {
+	if j.Standing() || j.Group() {
 		count = float64(j.Tasks)
 	}
 	if t.limit.Cores > 0 && count*j.Cores > t.limit.Cores+1e-9 {
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -54,6 +54,10 @@
 // Standing tells whether the job's tasks run until it is cancelled.
 func (j *Job) Standing() bool { return j.Shape == "standing" }
 
+// Group tells whether the job's tasks start and run together. The protocol's
+// text leaves this shape out; see docs/questions.md.
+func (j *Job) Group() bool { return j.Shape == "group" }
+
 // Level is the job's urgency as a number.
 func (j *Job) Level() Urgency { return urgencies[j.Urgency] }
 
@@ -124,8 +128,8 @@
 	if !ValidJobID(j.ID) {
 		return nil, &BadField{"id", "must look like wk-000412"}
 	}
-	if j.Shape != "array" && j.Shape != "standing" {
-		return nil, &BadField{"shape", "must be array or standing"}
+	if j.Shape != "array" && !j.Standing() && !j.Group() {
+		return nil, &BadField{"shape", "must be array, group or standing"}
 	}
 	if _, ok := urgencies[j.Urgency]; !ok {
 		return nil, &BadField{"urgency", "must be prod, high, normal or low"}
