--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -105,15 +105,15 @@
 		w.Cards += float64(waiting) * j.need[1]
 		s.wanted[j.spec.Team] = w
 		n := min(waiting, s.room(j, p.teams, unknown))
-		if j.spec.Group() && n < waiting {
-			continue // a gang starts whole or not at all
+		if j.spec.Group() && (n < waiting || len(j.runs) > 0) {
+			continue // a gang starts whole, and when its last try is over
 		}
 		placed := s.spread(j, n, machines, p)
-		if j.spec.Group() && len(placed) < n {
-			for _, r := range placed {
-				s.drop(r)
+		if j.spec.Group() {
+			s.join(placed, n)
+			if len(placed) < n {
+				placed = nil
 			}
-			placed = nil
 		}
 		n -= len(placed)
 		if n > 0 {
@@ -130,6 +130,18 @@
 	}
 }
 
+// join makes one try of a gang's runs, or takes them back if some found no
+// place.
+func (s *shard) join(placed []*run, n int) {
+	for _, r := range placed {
+		if len(placed) < n {
+			s.drop(r)
+		} else {
+			r.try = placed[0].try
+		}
+	}
+}
+
 // spread places up to n tasks of a job, each on the machine with the lowest
 // score after it.
 func (s *shard) spread(j *job, n int, machines []*machine, p *planner) []*run {
