Let a shard that is short of a limit's room keep what it has

Cause: a holder counted its own want as another's, gave share back and was granted it anew, several times a second.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -42,8 +42,8 @@
 	}
 	var changes []change
 	n.mu.Lock()
-	short := n.shortTeams()
 	for i, s := range n.shards {
+		short := n.shortTeams(i)
 		g, ok := n.grantRecs[i]
 		if !ok || s.writes {
 			continue
@@ -99,11 +99,15 @@
 		Cards: keep(share.Cards, used.Cards, unknown.Cards, want.Cards, limit.Cards)}
 }
 
-// shortTeams lists the teams of which some other shard wants more than its
-// share.
-func (n *Node) shortTeams() map[string]bool {
+// shortTeams lists the teams of which some shard other than one wants more
+// than its share. A shard that counted itself would give room back only to be
+// granted it anew, over and over.
+func (n *Node) shortTeams(but int) map[string]bool {
 	short := map[string]bool{}
 	look := func(i int, wanted map[string]storage.Amount) {
+		if i == but {
+			return
+		}
 		for t, w := range wanted {
 			lim, share := n.teams[t].limit, n.grantRecs[i].v.Shares[t]
 			if lim.Cores > 0 && w.Cores > share.Cores+1e-9 || lim.Cards > 0 && w.Cards > share.Cards+1e-9 {
@@ -111,9 +115,6 @@
 			}
 		}
 	}
-	if n.op.Shards < 2 {
-		return short
-	}
 	for i, s := range n.shards {
 		look(i, s.wanted)
 	}
