Keep an empty machine only as long as a boot would cost

Cause: empty machines were kept for the workers' lease whatever they cost. Now for as long as booting another at the lower price would cost, so ordinary machines go back sooner.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -20,7 +20,7 @@
 	Shards      int           // how many units jobs, blocks and shares are leased in
 	Fill        int           // a shard takes new jobs until it has this many machines
 	HolderLease time.Duration // a controller's lease at the state service
-	Idle        time.Duration // an empty machine is given back after this
+	Idle        float64       // an empty machine is kept for so many times what a new one's boot costs
 	Status      string        // address of the operators' endpoint; empty: none
 }
 
@@ -40,13 +40,13 @@
 	Shards      *int     `xml:"shards"`
 	Fill        *int     `xml:"fill-machines"`
 	HolderLease *float64 `xml:"holder-lease-s"`
-	Idle        *float64 `xml:"idle-s"`
+	Idle        *float64 `xml:"idle-boots"`
 	Status      *string  `xml:"status-listen"`
 }
 
 var operatorNames = map[string]bool{"reedtrack": true, "reedtrack/ucfit": true, "reedtrack/ucfit/a": true,
 	"reedtrack/ucfit/b": true, "reedtrack/ucfit/c": true, "reedtrack/shards": true,
-	"reedtrack/fill-machines": true, "reedtrack/holder-lease-s": true, "reedtrack/idle-s": true, "reedtrack/status-listen": true}
+	"reedtrack/fill-machines": true, "reedtrack/holder-lease-s": true, "reedtrack/idle-boots": true, "reedtrack/status-listen": true}
 
 // Margin covers timers that fire late and answers under way.
 func (s *Settings) Margin() time.Duration {
@@ -61,7 +61,7 @@
 	lease := Seconds((w.CancelS - w.LeaseS) / 3)
 	return Operator{A: 2, B: 1, C: 0.2, Shards: s.Deployment.Count, Fill: s.fill(),
 		HolderLease: min(max(lease, 2*time.Second), 10*time.Second),
-		Idle:        Seconds(w.LeaseS)}
+		Idle:        1}
 }
 
 // reportCost is the processor time that a worker's report takes a controller,
@@ -120,7 +120,7 @@
 		op.HolderLease = Seconds(*x.HolderLease)
 	}
 	if x.Idle != nil {
-		op.Idle = Seconds(*x.Idle)
+		op.Idle = *x.Idle
 	}
 	if x.Status != nil {
 		op.Status = strings.TrimSpace(*x.Status)
@@ -136,8 +136,8 @@
 	if op.Fill < 1 {
 		return op, &FieldError{file, "fill-machines", "must be at least 1"}
 	}
-	if op.Idle < 0 {
-		return op, &FieldError{file, "idle-s", "must not be negative"}
+	if !(op.Idle >= 0 && op.Idle <= 1000) {
+		return op, &FieldError{file, "idle-boots", "must be from 0 to 1000"}
 	}
 	return op, s.Safe(file, op)
 }
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -21,12 +21,12 @@
 
 // giveBack marks blocks that this shard has no more use for: empty, and
 // certain to be so.
-func (s *shard) giveBack(now time.Time, idle time.Duration) {
+func (s *shard) giveBack(now time.Time, idle func(kind) time.Duration) {
 	for _, m := range s.machines {
 		if m.release || !m.settled || len(m.runs) > 0 || len(m.stray) > 0 {
 			continue
 		}
-		if m.expired || m.bad || now.Sub(m.idle) > idle {
+		if m.expired || m.bad || now.Sub(m.idle) > idle(m.kind()) {
 			m.release = true
 		}
 	}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -562,13 +562,8 @@
 		if _, ok := granted[id]; ok || len(names) == protocol.MaxRelease {
 			continue
 		}
-		ready := time.Minute
-		for _, b := range n.catalog {
-			if b.Name == k.kind.Breed {
-				ready = config.Seconds(b.ReadyS)
-			}
-		}
-		wait := n.op.Idle
+		ready := n.ready(k.kind.Breed)
+		wait := n.idle(k.kind)
 		if k.granted {
 			wait = 4 * gossipEvery // its holder has waited already
 		}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -384,7 +384,7 @@
 		}
 		s.silent(now, n.timing.WorkerGone)
 		s.plan(p, now)
-		s.giveBack(now, n.op.Idle)
+		s.giveBack(now, n.idle)
 		for _, m := range s.machines {
 			if m.bad {
 				n.bad[m.block.Machine] = true
@@ -429,6 +429,22 @@
 		report: config.Seconds(n.set.Deployment.Workers.ReportS)}
 }
 
+// idle is how long an empty machine is kept: for as long as keeping it costs
+// no more than booting another like it, at the lower of its two prices.
+func (n *Node) idle(k kind) time.Duration {
+	for _, b := range n.catalog {
+		if b.Name != k.Breed {
+			continue
+		}
+		keep := n.op.Idle * b.ReadyS
+		if !k.Spot && b.Rate > 0 && b.LowRate > 0 && b.LowRate < b.Rate {
+			keep *= b.LowRate / b.Rate
+		}
+		return config.Seconds(keep)
+	}
+	return time.Minute
+}
+
 // markWithin notes which jobs fit into their team's guarantee together with
 // the team's earlier unfinished jobs, those of other shards included.
 func (n *Node) markWithin() {
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -118,6 +118,8 @@
 
 func (m *machine) free() placement.Vector { return m.size.Sub(m.used) }
 
+func (m *machine) kind() kind { return kind{m.block.Breed, m.block.Zone, m.block.Spot} }
+
 // usable tells whether new tasks may be placed on the machine.
 func (m *machine) usable() bool {
 	return m.settled && m.heard && !m.expired && !m.bad && !m.release && m.takenAt.IsZero() && len(m.stray) == 0
