--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"reedtrack/internal/config"
 	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
@@ -20,7 +19,6 @@
 	teams   map[string]team
 	refused func(k kind) bool
 	report  time.Duration
-	aims    []config.Objective
 	usage   map[string]storage.Amount // of all shards
 }
 
@@ -124,7 +122,7 @@
 	}
 	s.drain(machines, p, now)
 	left = s.preempt(left, machines, p, now)
-	s.wantMachines(left, p, now)
+	s.wantMachines(left, p)
 	for _, m := range machines {
 		if len(m.runs) > 0 {
 			m.idle = now
@@ -286,7 +284,7 @@
 // wantMachines works out which machines to rent for tasks that fit nowhere:
 // first those already on their way are filled, then the best-scoring type is
 // added for each task that is left.
-func (s *shard) wantMachines(left []unfit, p *planner, now time.Time) {
+func (s *shard) wantMachines(left []unfit, p *planner) {
 	type bin struct {
 		k          kind
 		free, size placement.Vector
@@ -301,11 +299,8 @@
 		bins = append(bins, &bin{k, size[k.Breed], size[k.Breed], false})
 	}
 	s.fits = s.fits[:0]
-	work, cores := s.backlog(size, now)
 	for _, u := range left {
 		j := u.job
-		work += float64(u.count) * j.need[0] * j.spec.GuessS
-		late := cores == 0 || !p.inTime(j, work/cores, now)
 		kinds := j.kinds(p)
 		for _, k := range kinds {
 			if !slices.Contains(s.fits, k) {
@@ -319,7 +314,7 @@
 				return b.free.Sub(j.need), b.size, ok
 			})
 			if i < 0 {
-				k, ok := s.bestKind(j, kinds, late, p, size)
+				k, ok := s.bestKind(j, kinds, p, size)
 				if !ok {
 					break
 				}
@@ -344,45 +339,6 @@
 	})
 }
 
-// backlog is the work, in seconds of processors, that the placed tasks still
-// have to do by their owners' guess, and the processors there are and will be.
-func (s *shard) backlog(size map[string]placement.Vector, now time.Time) (work, cores float64) {
-	for _, m := range s.machines {
-		if m.usable() {
-			cores += m.size[0]
-		}
-		for _, r := range m.runs {
-			left := r.job.spec.GuessS
-			if !r.began.IsZero() {
-				left -= now.Sub(r.began).Seconds()
-			}
-			work += max(0, left) * r.job.need[0]
-		}
-	}
-	for _, k := range s.coming {
-		cores += size[k.Breed][0]
-	}
-	return work, cores
-}
-
-// inTime tells whether a job will do what is expected of its class, or keep
-// its deadline, if its last task starts after so many seconds.
-func (p *planner) inTime(j *job, start float64, now time.Time) bool {
-	start += now.Sub(j.at).Seconds()
-	if d := j.spec.DueS; d != nil && start+j.spec.GuessS > *d {
-		return false
-	}
-	for _, o := range p.aims {
-		if o.Class != j.spec.Class {
-			continue
-		}
-		if o.Kind == "finished" && start+j.spec.GuessS > o.WithinS || o.Kind == "wait" && start > o.WithinS {
-			return false
-		}
-	}
-	return true
-}
-
 // kinds lists the machines on which a job's tasks may run, in catalog order.
 func (j *job) kinds(p *planner) []kind {
 	var out []kind
@@ -401,10 +357,9 @@
 	return out
 }
 
-// bestKind picks what to rent: spot machines where any can be had, ordinary
-// ones for jobs that may not use those or would be late without; and among
-// them the best-scoring type, in the zone with the fewest of ours.
-func (s *shard) bestKind(j *job, kinds []kind, late bool, p *planner, size map[string]placement.Vector) (kind, bool) {
+// bestKind picks what to rent: spot machines where any can be had, and among
+// those the best-scoring type, in the zone with the fewest of ours.
+func (s *shard) bestKind(j *job, kinds []kind, p *planner, size map[string]placement.Vector) (kind, bool) {
 	var can []kind
 	for _, spot := range []bool{true, false} {
 		for _, k := range kinds {
@@ -412,7 +367,7 @@
 				can = append(can, k)
 			}
 		}
-		if len(can) > 0 || j.spec.Spot && !late {
+		if len(can) > 0 {
 			break
 		}
 	}
