Empty dear, partly used machines when nothing waits

A machine whose tasks can all save themselves and fit on others is emptied, one at a time. Ruled out: idle time (halving it moved nothing).

--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -123,6 +123,7 @@
 	s.drain(machines, p, now)
 	left = s.preempt(left, machines, p, now)
 	s.wantMachines(left, p)
+	s.consolidate(left, machines, p, now)
 	for _, m := range machines {
 		if len(m.runs) > 0 {
 			m.idle = now
@@ -150,7 +151,7 @@
 		i := p.params.Best(len(machines), func(i int) (placement.Vector, placement.Vector, bool) {
 			m := machines[i]
 			free := m.free()
-			if !m.usable() || !free.Fits(j.need) || !j.allows(m.block.Breed, m.block.Zone, m.block.Spot) ||
+			if !m.usable() || m.vacate || !free.Fits(j.need) || !j.allows(m.block.Breed, m.block.Zone, m.block.Spot) ||
 				!j.zoneOK(m.block.Zone) || j.errOn[m.block.Machine] {
 				return placement.Vector{}, placement.Vector{}, false
 			}
@@ -190,6 +191,92 @@
 	}
 }
 
+// consolidate empties a machine, the dearest first, when nothing waits and all
+// that it runs can save itself and fits on others: as work runs out, machines
+// would otherwise be kept for one long task each.
+func (s *shard) consolidate(left []unfit, machines []*machine, p *planner, now time.Time) {
+	if len(left) > 0 {
+		for _, m := range machines {
+			m.vacate = false
+		}
+		return
+	}
+	for _, m := range machines {
+		if m.vacate && len(m.runs) > 0 {
+			return // one at a time
+		}
+	}
+	var best *machine
+	for _, m := range machines {
+		if !m.usable() || m.vacate || len(m.runs) == 0 || !s.movable(m, machines, p, now) {
+			continue
+		}
+		if best == nil || p.price(m.kind()) > p.price(best.kind()) {
+			best = m
+		}
+	}
+	if best == nil {
+		return
+	}
+	slog.Info("emptying a machine", "machine", best.block.Machine, "tasks", len(best.runs))
+	best.vacate = true
+	for _, r := range best.runs {
+		r.halt, r.mercy = true, r.job.spec.SaveTake
+	}
+}
+
+// movable tells whether all that a machine runs may go on elsewhere, on
+// machines that are no dearer and are in use anyway, and gains by it.
+func (s *shard) movable(m *machine, machines []*machine, p *planner, now time.Time) bool {
+	room := map[*machine]placement.Vector{}
+	for _, r := range m.runs {
+		j := r.job
+		ran := now.Sub(r.began)
+		// A task stopped within half a minute of its start does not count as
+		// started; one about to end is not worth the move.
+		if j.spec.SaveS <= 0 || j.spec.Shape != "array" || r.halt || r.status != protocol.Running || ran < 30*time.Second {
+			return false
+		}
+		cost := j.spec.SaveTake + p.report.Seconds() + p.fetch(m.block.Breed, j.spec.ImageGB)
+		if j.spec.GuessS-ran.Seconds() < 2*cost {
+			return false
+		}
+		i := p.params.Best(len(machines), func(i int) (placement.Vector, placement.Vector, bool) {
+			o := machines[i]
+			free := o.free().Sub(room[o])
+			ok := o != m && o.usable() && !o.vacate && len(o.runs) > 0 && p.price(o.kind()) <= p.price(m.kind()) &&
+				free.Fits(j.need) && j.allows(o.block.Breed, o.block.Zone, o.block.Spot) && j.zoneOK(o.block.Zone)
+			return free.Sub(j.need), o.size, ok
+		})
+		if i < 0 {
+			return false
+		}
+		room[machines[i]] = room[machines[i]].Add(j.need)
+	}
+	return true
+}
+
+// price is what a machine costs per hour, fetch how long its image takes.
+func (p *planner) price(k kind) float64 {
+	for _, b := range p.breeds {
+		if b.Name == k.Breed && k.Spot {
+			return b.LowRate
+		} else if b.Name == k.Breed {
+			return b.Rate
+		}
+	}
+	return 0
+}
+
+func (p *planner) fetch(breed string, gb float64) float64 {
+	for _, b := range p.breeds {
+		if b.Name == breed && b.FetchGB > 0 {
+			return gb / b.FetchGB
+		}
+	}
+	return 0
+}
+
 // preempt stops work of lower priority, or beyond a guarantee, for jobs that
 // nothing else will serve soon. It returns what remains unserved.
 func (s *shard) preempt(left []unfit, machines []*machine, p *planner, now time.Time) []unfit {
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -112,6 +112,7 @@
 	takenAt  time.Time // when the cloud takes it away; zero: not known
 	errs     int
 	bad      bool // to be replaced
+	vacate   bool // being emptied, to be given back
 	release  bool // being given back; sticky until the grant lacks it
 	idle     time.Time
 }
