--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -62,7 +62,7 @@
 }
 
 // order sorts the jobs with startable tasks: those within a guarantee first,
-// then by urgency, then as they came.
+// then by urgency, then the job with the least work left.
 func (s *shard) order(now time.Time) []*job {
 	var jobs []*job
 	for _, j := range s.jobs {
@@ -77,11 +77,16 @@
 			}
 			return 1
 		}
-		return cmp.Or(-cmp.Compare(a.spec.Level(), b.spec.Level()), cmp.Compare(a.atMS, b.atMS), cmp.Compare(a.id, b.id))
+		return cmp.Or(-cmp.Compare(a.spec.Level(), b.spec.Level()), cmp.Compare(a.left(), b.left()), cmp.Compare(a.atMS, b.atMS), cmp.Compare(a.id, b.id))
 	})
 	return jobs
 }
 
+// left is the work that a job still needs, by its owner's guess.
+func (j *job) left() float64 {
+	return float64(j.spec.Tasks-j.done.Len()) * j.need[0] * j.spec.GuessS
+}
+
 type unfit struct {
 	job   *job
 	count int
