--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -91,6 +91,9 @@
 			cores += m.size[0]
 		}
 	}
+	for _, k := range s.coming {
+		cores += p.size(k.Breed)[0]
+	}
 	var out []*job
 	for from := 0; from < len(jobs); {
 		to := from
@@ -115,7 +118,7 @@
 			teams[j.spec.Team] = t
 			limits = append(limits, p.teams[j.spec.Team].limit.Cores)
 		}
-		dues[i] = placement.Due{Team: t, Work: j.left(), Last: j.spec.GuessS, Due: p.due(j, now)}
+		dues[i] = placement.Due{Team: t, Work: j.left(now), Last: j.spec.GuessS, Due: p.due(j, now)}
 	}
 	var out []*job
 	for _, i := range placement.Sequence(dues, cores, func(t int) float64 { return limits[t] }) {
@@ -155,8 +158,15 @@
 }
 
 // left is the work that a job still needs, by its owner's guess.
-func (j *job) left() float64 {
-	return float64(j.spec.Tasks-j.done.Len()) * j.need[0] * j.spec.GuessS
+func (j *job) left(now time.Time) float64 {
+	work := float64(j.waiting()) * j.spec.GuessS
+	for _, r := range j.runs {
+		work += j.spec.GuessS
+		if !r.began.IsZero() {
+			work -= min(j.spec.GuessS, now.Sub(r.began).Seconds())
+		}
+	}
+	return work * j.need[0]
 }
 
 type unfit struct {
@@ -333,6 +343,15 @@
 	return true
 }
 
+func (p *planner) size(breed string) placement.Vector {
+	for _, b := range p.breeds {
+		if b.Name == breed {
+			return sizeOf(b)
+		}
+	}
+	return placement.Vector{}
+}
+
 // price is what a machine costs per hour, fetch how long its image takes.
 func (p *planner) price(k kind) float64 {
 	for _, b := range p.breeds {
