Decide equal scores by cached image, then spot

Cause: tasks of one image were fetched on every machine in turn; in a fleet of one type many machines score alike.

--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -234,6 +234,7 @@
 // score after it.
 func (s *shard) spread(j *job, n int, machines []*machine, p *planner) []*run {
 	var placed []*run
+	machines = preferred(j, machines)
 	for len(placed) < n {
 		i := p.params.Best(len(machines), func(i int) (placement.Vector, placement.Vector, bool) {
 			m := machines[i]
@@ -257,6 +258,24 @@
 	return placed
 }
 
+// preferred puts the machines in the order in which equal scores are decided:
+// those that have had the job's image first, and spot before ordinary ones.
+func preferred(j *job, machines []*machine) []*machine {
+	out := slices.Clone(machines)
+	rank := func(m *machine) int {
+		r := 0
+		if !m.images[j.spec.Image] {
+			r = 2
+		}
+		if !m.block.Spot {
+			r++
+		}
+		return r
+	}
+	slices.SortStableFunc(out, func(a, b *machine) int { return rank(a) - rank(b) })
+	return out
+}
+
 // drain stops what can save itself on machines that will be taken.
 func (s *shard) drain(machines []*machine, p *planner, now time.Time) {
 	for _, m := range machines {
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -115,6 +115,7 @@
 	vacate   bool // being emptied, to be given back
 	release  bool // being given back; sticky until the grant lacks it
 	idle     time.Time
+	images   map[string]bool // images fetched for this holder's tasks
 }
 
 func (m *machine) free() placement.Vector { return m.size.Sub(m.used) }
@@ -189,7 +190,7 @@
 		}
 		v, _ := size(b.Breed)
 		s.machines[b.Machine] = &machine{block: b, size: v, runs: map[taskKey]*run{},
-			cleared: map[taskKey]uint64{}, stray: map[taskKey]uint64{}, answered: now, idle: now,
+			cleared: map[taskKey]uint64{}, stray: map[taskKey]uint64{}, images: map[string]bool{}, answered: now, idle: now,
 			// A block granted under this very lease was empty, and nobody
 			// else can have started anything on it since.
 			settled: b.Term > s.term}
@@ -247,6 +248,7 @@
 func (s *shard) attach(r *run) {
 	r.m.runs[r.key] = r
 	r.m.used = r.m.used.Add(r.job.need)
+	r.m.images[r.job.spec.Image] = true
 	r.job.runs[r.key.task] = r
 	u := s.used[r.job.spec.Team]
 	u.Cores += r.job.need[0]
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -73,7 +73,7 @@
 		if !ok {
 			continue
 		}
-		if s := p.Score(free, size); s < low {
+		if s := p.Score(free, size); s < low-epsilon {
 			best, low = i, s
 		}
 	}
