--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -408,7 +408,7 @@
 	for _, u := range left {
 		j := u.job
 		n := u.count
-		eager := (j.within || j.spec.Level() >= protocol.High) && now.Sub(j.at) > 2*p.report
+		eager := p.eager(j, now)
 		for n > 0 {
 			best, low := -1, 0.0
 			var pick []*run
@@ -425,7 +425,9 @@
 				}
 				runs, victims := s.victims(j, m, p, now)
 				idx, loss := placement.Preempt(freed[i], j.need, victims)
-				if len(idx) > 0 && (best < 0 || loss < low) {
+				// Stopping work that costs more than the task itself gains
+				// nobody anything.
+				if len(idx) > 0 && loss <= j.need[0]*max(j.spec.GuessS, 1) && (best < 0 || loss < low) {
 					best, low, pick = i, loss, nil
 					for _, k := range idx {
 						pick = append(pick, runs[k])
@@ -454,6 +456,25 @@
 	return rest
 }
 
+// eager tells whether a job is to be served at others' cost: one within its
+// team's guarantee after a while, and an urgent one when it would otherwise
+// miss its deadline, but still can keep it. An urgent job that merely waits is
+// served as tasks end; were it to stop others, those would stop others in turn.
+func (p *planner) eager(j *job, now time.Time) bool {
+	waited := now.Sub(j.at)
+	if j.within {
+		return waited > 2*p.report
+	}
+	if j.spec.Level() < protocol.High {
+		return false
+	}
+	if j.spec.DueS == nil {
+		return j.spec.Level() == protocol.Prod || waited > 4*p.report
+	}
+	slack := *j.spec.DueS - waited.Seconds() - j.spec.GuessS
+	return slack > 0 && slack < 4*p.report.Seconds()
+}
+
 // victims lists what may be stopped on a machine in favour of a job.
 func (s *shard) victims(j *job, m *machine, p *planner, now time.Time) ([]*run, []placement.Victim) {
 	var runs []*run
