--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -567,7 +567,7 @@
 		if k.granted {
 			wait = 4 * gossipEvery // its holder has waited already
 		}
-		never := k.reported.IsZero() && now.Sub(k.asked) > 4*ready+n.timing.WorkerGone
+		never := k.reported.IsZero() && now.Sub(k.asked) > 4*ready
 		silent := !k.reported.IsZero() && now.Sub(k.reported) > n.timing.WorkerGone
 		idle := !k.freed.IsZero() && now.Sub(k.freed) > wait
 		if k.status == "failed" || never || silent || idle || k.active || l.bad[id] {
