--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -549,9 +549,7 @@
 	}
 	count := map[kind]int{}
 	for _, b := range bins {
-		// An ordinary machine that would stay mostly empty costs more than
-		// the wait for a place on those that run.
-		if b.fresh && (b.k.Spot || len(s.machines) == 0 || filled(b.free, b.size) >= 0.5) {
+		if b.fresh {
 			count[b.k]++
 		}
 	}
@@ -564,17 +562,6 @@
 	})
 }
 
-// filled is the part of a machine that is taken, in its scarcest dimension.
-func filled(free, size placement.Vector) float64 {
-	most := 0.0
-	for i := range size {
-		if size[i] > 0 {
-			most = max(most, 1-free[i]/size[i])
-		}
-	}
-	return most
-}
-
 // kinds lists the machines on which a job's tasks may run, in catalog order.
 func (j *job) kinds(p *planner) []kind {
 	var out []kind
