--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -108,7 +109,7 @@
 				field = fmt.Sprintf("%v (line %d)", joinKey(k), row)
 			}
 		}
-		return nil, &FieldError{name, field, err.Error()}
+		return nil, &FieldError{name, field, oneLine(err)}
 	}
 	if err := s.check(name); err != nil {
 		return nil, err
@@ -177,3 +178,5 @@
 
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func oneLine(err error) string { return strings.Join(strings.Fields(err.Error()), " ") }
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const site = `
+host_name = "n0"
+location = "a"
+listen = "10.0.0.1:8080"
+peer_bind = "10.0.0.1:8081"
+unknown = 1
+[[siblings]]
+host_name = "n1"
+location = "b"
+address = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[deployment]
+count = 2
+zones = ["a", "b"]
+[[deployment.teams]]
+name = "red"
+cpus = 4.0
+cpus_max = 8.0
+[deployment.workers]
+report_s = 3.0
+lease_s = 20.0
+cancel_s = 44.0
+[deployment.state]
+rps = 250.0
+write_rps = 60.0
+value_kb = 16.0
+txn_ops = 12
+[deployment.cloud]
+rps = 10.0
+list_lag_s = 4.0
+[deployment.limits]
+cpu_share = 0.1
+memory_mb = 100.0
+max_sockets = 1000
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse("site.toml", []byte(site))
+	if err != nil {
+		t.Fatal(err)
+	}
+	op := s.Defaults()
+	if op.HolderLease != 8*time.Second || op.Fill != 75 || op.Shards != 2 {
+		t.Errorf("derived %+v", op)
+	}
+	if tm := s.Timing(op); tm.Act >= op.HolderLease || tm.WorkerGone <= 20*time.Second {
+		t.Errorf("derived %+v", tm)
+	}
+	for _, c := range []struct{ old, new, field string }{
+		{`host_name = "n0"`, ``, "host_name"},
+		{`listen = "10.0.0.1:8080"`, `listen = "10.0.0.1"`, "listen"},
+		{`address = "10.0.0.2:8081"`, `address = "b"`, "siblings[0].address"},
+		{`host_name = "n1"`, `host_name = "n0"`, "siblings[0].host_name"},
+		{`cpus_max = 8.0`, `cpus_max = -1.0`, "deployment.teams[0].cpus_max"},
+		{`cpus_max = 8.0`, `cpus_max = nan`, "deployment.teams[0].cpus_max"},
+		{`lease_s = 20.0`, ``, "deployment.workers.lease_s"},
+		{`rps = 10.0`, `rps = "ten"`, "deployment.cloud.rps"},
+		{`count = 2`, `count = [`, "line"},
+	} {
+		_, err := Parse("site.toml", []byte(strings.Replace(site, c.old, c.new, 1)))
+		if err == nil || !strings.HasPrefix(err.Error(), "site.toml: "+c.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+}
+
+func TestOperator(t *testing.T) {
+	s, err := Parse("site.toml", []byte(site))
+	if err != nil {
+		t.Fatal(err)
+	}
+	op, err := s.ParseOperator("op.xml", []byte(`<reedtrack><ucfit><a>3</a><c>0.1</c></ucfit><shards>1</shards></reedtrack>`))
+	if err != nil || op.A != 3 || op.B != 1 || op.C != 0.1 || op.Shards != 1 || op.HolderLease != 8*time.Second {
+		t.Errorf("%+v %v", op, err)
+	}
+	for xml, want := range map[string]string{
+		"<reedtrack>\n<shard>1</shard></reedtrack>":                  "unknown element on line 2",
+		"<reedtrack><shards>0</shards></reedtrack>":                  "from 1 to 64",
+		"<reedtrack><holder-lease-s>30</holder-lease-s></reedtrack>": "must be below workers.cancel_s 44s",
+		"<reedtrack><ucfit><a>-1</a></ucfit></reedtrack>":            "from 0 to 100",
+		"<reedtrack><ucfit><a>two</a></ucfit></reedtrack>":           "two",
+		"<reedtrack>": "EOF",
+		`<reedtrack><idle-boots unit="s">1</idle-boots></reedtrack>`:    "unknown attribute",
+		"<reedtrack><fill-machines>0</fill-machines></reedtrack>":       "at least 1",
+		"<reedtrack><status-listen>nowhere</status-listen></reedtrack>": "address",
+	} {
+		if _, err := s.ParseOperator("op.xml", []byte(xml)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", xml, err, want)
+		}
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -133,6 +134,11 @@
 	if op.Shards < 1 || op.Shards > 64 {
 		return op, &FieldError{file, "shards", "must be from 1 to 64"}
 	}
+	if op.Status != "" {
+		if _, err := netip.ParseAddrPort(op.Status); err != nil {
+			return op, &FieldError{file, "status-listen", "not an address with a port: " + op.Status}
+		}
+	}
 	if op.Fill < 1 {
 		return op, &FieldError{file, "fill-machines", "must be at least 1"}
 	}
--- /dev/null
+++ b/internal/coordination/world_test.go
@@ -0,0 +1,815 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"reedtrack/internal/config"
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// world is a deployment of stand-ins in simulated time, with a plain model of
+// the rules: it keeps every task, machine and answer, and looks at each event
+// with the whole picture.
+type world struct {
+	set   *config.Settings
+	store *store
+	rnd   *rand.Rand
+	mu    sync.Mutex // guards all below
+
+	nodes   []*simNode
+	workers map[string]*worker
+	ready   map[string]time.Time // when rented machines come up
+	asks    map[string][]string
+	next    int
+	noCloud bool
+	tweak   func(*Node)
+
+	specs    map[string]*protocol.Job
+	told     map[string]string // the newest answer that must not be taken back
+	accepted map[string]bool
+	gone     map[string]time.Time // when a user was told of a cancellation
+	cancel   map[string]bool
+	done     map[string]bool
+	on       map[string]*worker // where a started task is
+	use      map[string]float64
+	starts   int
+	broken   []string
+	wg       sync.WaitGroup
+	ctx      context.Context
+}
+
+type simNode struct {
+	name string
+	node *Node
+	wire *wire
+	stop context.CancelFunc
+	cutW bool // workers do not reach it
+}
+
+var simBreeds = []protocol.Breed{
+	{Name: "small", Cores: 4, RAM: 16, FetchGB: 1, Rate: 0.3, LowRate: 0.1, ReadyS: 8, Zones: []string{"a", "b"}},
+	{Name: "big", Cores: 16, RAM: 32, FetchGB: 1, Rate: 1.2, LowRate: 0.4, ReadyS: 15, Zones: []string{"a"}},
+}
+
+func newWorld(seed uint64, tweak func(*Node)) *world {
+	set := &config.Settings{HostName: "n0", Listen: "127.0.0.1:1", PeerBind: "127.0.0.1:2"}
+	set.Services.Cloud, set.Services.State = "127.0.0.1:3", "127.0.0.1:4"
+	d := &set.Deployment
+	d.Count = 3
+	d.Teams = []config.Team{{Name: "red", CPUs: 8, CPUsMax: 14}, {Name: "blue", CPUs: 8, CPUsMax: 24}}
+	d.Workers.ReportS, d.Workers.LeaseS, d.Workers.CancelS = 3, 20, 45
+	d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 300, 200, 16, 12
+	d.Cloud.RPS, d.Cloud.ListLagS = 10, 2
+	d.Limits.CPUShare = 0.1
+	return &world{set: set, store: newStore(), rnd: rand.New(rand.NewPCG(seed, 1)), tweak: tweak,
+		workers: map[string]*worker{}, ready: map[string]time.Time{}, asks: map[string][]string{},
+		specs: map[string]*protocol.Job{}, told: map[string]string{}, accepted: map[string]bool{},
+		gone: map[string]time.Time{}, cancel: map[string]bool{}, done: map[string]bool{},
+		on: map[string]*worker{}, use: map[string]float64{}}
+}
+
+func (w *world) intn(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rnd.IntN(n)
+}
+
+func (w *world) chance(p float64) bool { return float64(w.intn(1e6)) < p*1e6 }
+
+func (w *world) breakf(format string, a ...any) {
+	if len(w.broken) < 10 {
+		w.broken = append(w.broken, fmt.Sprintf(format, a...))
+	}
+}
+
+func (w *world) goes(f func()) {
+	w.wg.Add(1)
+	go func() { defer w.wg.Done(); f() }()
+}
+
+// Controllers.
+
+type simPeer struct {
+	w    *world
+	to   int
+	from string
+}
+
+func (p simPeer) Call(timeout time.Duration, in, out any) error {
+	time.Sleep(time.Duration(1+p.w.intn(5)) * time.Millisecond)
+	p.w.mu.Lock()
+	n := p.w.nodes[p.to].node
+	p.w.mu.Unlock()
+	if n == nil || p.w.chance(0.02) {
+		return errors.New("no link")
+	}
+	*out.(*Reply) = n.Hear(*in.(*Status))
+	return nil
+}
+
+func (w *world) start(i int) {
+	set := *w.set
+	set.HostName = w.nodes[i].name
+	op := set.Defaults()
+	op.Fill = 2 // so that all shards get jobs
+	peers := map[string]Peer{}
+	for k, o := range w.nodes {
+		if k != i {
+			peers[o.name] = simPeer{w, k, set.HostName}
+		}
+	}
+	wr := &wire{s: w.store, rnd: rand.New(rand.NewPCG(uint64(w.intn(1e6)), 7)), bad: 0.02}
+	st := storage.NewClientOver(wr, set.Deployment.State.RPS, set.Deployment.State.WriteRPS, 3)
+	n := New(&set, op, st, simCloud{w}, peers, w.direct)
+	if w.tweak != nil {
+		w.tweak(n)
+	}
+	ctx, stop := context.WithCancel(w.ctx)
+	w.mu.Lock()
+	w.nodes[i].node, w.nodes[i].wire, w.nodes[i].stop = n, wr, stop
+	w.mu.Unlock()
+	w.goes(func() { n.Run(ctx) })
+}
+
+func (w *world) kill(i int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.nodes[i].node != nil {
+		w.nodes[i].stop()
+		w.nodes[i].node = nil
+	}
+}
+
+func (w *world) node(i int) *Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[i].node
+}
+
+// The cloud.
+
+type simCloud struct{ w *world }
+
+func (c simCloud) call() error {
+	time.Sleep(time.Duration(20+c.w.intn(80)) * time.Millisecond)
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	if c.w.noCloud || c.w.rnd.IntN(50) == 0 {
+		return errors.New("trouble")
+	}
+	return nil
+}
+
+func (c simCloud) Catalog(context.Context) (protocol.Catalog, error) {
+	return protocol.Catalog{Breeds: simBreeds}, c.call()
+}
+
+func (c simCloud) Rent(_ context.Context, r protocol.Rental) ([]string, error) {
+	if err := c.call(); err != nil {
+		return nil, err
+	}
+	w := c.w
+	w.mu.Lock()
+	if got, ok := w.asks[r.Ask]; ok {
+		w.mu.Unlock()
+		return got, nil
+	}
+	var names []string
+	for range r.HowMany {
+		if len(w.workers) >= 10 {
+			break
+		}
+		w.next++
+		m := &worker{w: w, id: fmt.Sprintf("host-%06d", w.next), r: r, born: time.Now(), tasks: map[string]*wtask{}}
+		for _, b := range simBreeds {
+			if b.Name == r.Breed {
+				m.breed = b
+			}
+		}
+		w.workers[m.id] = m
+		names = append(names, m.id)
+		boot := time.Duration(float64(time.Second) * m.breed.ReadyS * (0.6 + w.rnd.Float64()))
+		if w.rnd.IntN(12) > 0 { // a few never come up
+			m.boots = time.Now().Add(boot)
+			w.wg.Add(1)
+			go func() { defer w.wg.Done(); m.run(boot) }()
+		}
+	}
+	if len(names) == 0 {
+		w.mu.Unlock()
+		return nil, ErrNoCapacity
+	}
+	w.asks[r.Ask] = names
+	lost := w.rnd.IntN(10) == 0
+	w.mu.Unlock()
+	if lost {
+		return nil, errors.New("no answer")
+	}
+	return names, nil
+}
+
+func (c simCloud) Release(_ context.Context, names []string) error {
+	if err := c.call(); err != nil {
+		return err
+	}
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	for _, id := range names {
+		if m := c.w.workers[id]; m != nil {
+			m.die()
+			delete(c.w.workers, id)
+		}
+	}
+	return nil
+}
+
+func (c simCloud) List(_ context.Context, since string) (protocol.MachineList, error) {
+	if err := c.call(); err != nil {
+		return protocol.MachineList{}, err
+	}
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	var l protocol.MachineList
+	for id, m := range c.w.workers {
+		if id <= since || time.Since(m.born) < 2*time.Second {
+			continue
+		}
+		st := "starting"
+		if m.dead {
+			st = "failed"
+		} else if !m.boots.IsZero() && time.Now().After(m.boots) {
+			st = "running"
+		}
+		l.Machines = append(l.Machines, protocol.ListedMachine{ID: id, Breed: m.r.Breed, Zone: m.r.Zone, Spot: m.r.Spot,
+			Status: st, AgeS: time.Since(m.born).Seconds()})
+	}
+	slices.SortFunc(l.Machines, func(a, b protocol.ListedMachine) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return l, nil
+}
+
+// Workers.
+
+type worker struct {
+	w            *world
+	id           string
+	r            protocol.Rental
+	breed        protocol.Breed
+	born, boots  time.Time
+	dead         bool
+	stint, tally uint64
+	baton        uint64
+	warn         *float64
+	sent         time.Time // when the last answered report was sent
+	tasks        map[string]*wtask
+	sick         bool
+	hung         time.Time
+	changed      bool
+	node         int
+	epoch        uint64 // changes with the session: late answers are dropped
+}
+
+type wtask struct {
+	name   string
+	job    *protocol.Job
+	try    uint64
+	status string
+	cause  string
+	until  time.Time
+	active bool // counts as on the machine
+}
+
+// die ends a worker; the world's lock is held.
+func (m *worker) die() {
+	m.dead = true
+	for _, t := range m.tasks {
+		m.off(t)
+	}
+	m.tasks = map[string]*wtask{}
+}
+
+func (m *worker) off(t *wtask) {
+	if t.active {
+		t.active = false
+		delete(m.w.on, t.name)
+		m.w.use[t.job.Team] -= t.job.Cores
+	}
+}
+
+// up starts a task's run, at which the rules are checked.
+func (m *worker) up(t *wtask) {
+	w, j := m.w, t.job
+	w.starts++
+	if o := w.on[t.name]; o != nil {
+		w.breakf("ran_twice: %s on %s and %s", t.name, o.id, m.id)
+	}
+	if at, ok := w.gone[j.ID]; ok && time.Since(at).Seconds() > w.set.Deployment.Workers.CancelS {
+		w.breakf("ran_cancelled: %s starts", t.name)
+	}
+	if j.Yard != "" && j.Yard != m.r.Zone || !j.Spot && m.r.Spot || len(j.Breeds) > 0 && !slices.Contains(j.Breeds, m.r.Breed) {
+		w.breakf("wrong_place: %s on %s", t.name, m.id)
+	}
+	same := 1
+	for name, o := range w.on {
+		if id, _, _ := protocol.SplitTask(name); id != j.ID {
+			continue
+		}
+		if o.r.Zone == m.r.Zone {
+			same++
+		} else if j.OneZone {
+			w.breakf("wrong_place: %s not in one zone", t.name)
+		}
+	}
+	if j.Spread && same > (j.Tasks+1)/2 {
+		w.breakf("wrong_place: %s not spread", t.name)
+	}
+	w.on[t.name] = m
+	t.active = true
+	w.use[j.Team] += j.Cores
+	for _, team := range w.set.Deployment.Teams {
+		if team.Name == j.Team && w.use[j.Team] > team.CPUsMax+1e-6 {
+			w.breakf("quota: %s uses %g of %g", j.Team, w.use[j.Team], team.CPUsMax)
+		}
+	}
+}
+
+func (m *worker) run(boot time.Duration) {
+	time.Sleep(boot)
+	w := m.w
+	w.mu.Lock()
+	m.stint, m.sent, m.node = 1, time.Now(), w.rnd.IntN(len(w.nodes))
+	w.mu.Unlock()
+	next := time.Now()
+	busy := false
+	for w.ctx.Err() == nil {
+		w.mu.Lock()
+		now := time.Now()
+		if m.dead {
+			w.mu.Unlock()
+			return
+		}
+		if now.Before(m.hung) {
+			m.lease(now) // it may resume only within its lease
+			w.mu.Unlock()
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		m.step(now)
+		send := !busy && (now.After(next) || m.changed && now.After(next.Add(-2500*time.Millisecond)))
+		var rep *protocol.Report
+		if send {
+			m.changed = false
+			next = now.Add(time.Duration(2250+w.rnd.IntN(1500)) * time.Millisecond)
+			rep = m.report()
+			busy = true
+		}
+		node, epoch := m.node, m.epoch
+		w.mu.Unlock()
+		if rep != nil {
+			w.goes(func() {
+				m.send(rep, node, epoch, now)
+				w.mu.Lock()
+				busy = false
+				w.mu.Unlock()
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// lease ends the session when no report has been answered for too long.
+func (m *worker) lease(now time.Time) {
+	if now.Sub(m.sent).Seconds() > m.w.set.Deployment.Workers.LeaseS {
+		for _, t := range m.tasks {
+			m.off(t)
+		}
+		m.tasks = map[string]*wtask{}
+		m.stint++
+		m.epoch++
+		m.sent, m.changed = now, true
+	}
+}
+
+// step moves tasks on and looks at the lease.
+func (m *worker) step(now time.Time) {
+	m.lease(now)
+	for _, t := range m.tasks {
+		if t.status == protocol.Ended || now.Before(t.until) {
+			if at, ok := m.w.gone[t.job.ID]; ok && t.active && now.Sub(at).Seconds() > m.w.set.Deployment.Workers.CancelS {
+				m.w.breakf("ran_cancelled: %s is on %s", t.name, m.id)
+			}
+			continue
+		}
+		m.changed = true
+		switch t.status {
+		case protocol.Fetching:
+			m.up(t)
+			t.status = protocol.Running
+			t.until = now.Add(config.Seconds(t.job.GuessS * (0.5 + m.w.rnd.Float64())))
+			if m.sick {
+				t.until = now
+			}
+			if t.job.Standing() {
+				t.until = now.Add(time.Hour)
+			}
+			if m.w.done[t.name] {
+				t.until = now
+			}
+		case protocol.Running:
+			m.off(t)
+			t.status, t.cause = protocol.Ended, protocol.CauseDone
+			if m.sick {
+				t.cause = protocol.CauseError
+			} else {
+				m.w.done[t.name] = true
+			}
+		case protocol.Saving:
+			m.off(t)
+			t.status, t.cause = protocol.Ended, protocol.CauseHalted
+		}
+	}
+}
+
+func (m *worker) report() *protocol.Report {
+	m.tally++
+	r := &protocol.Report{Machine: m.id, Address: m.id, Breed: m.r.Breed, Zone: m.r.Zone, Spot: m.r.Spot,
+		Stint: m.stint, Tally: m.tally, Baton: m.baton, WarningS: m.warn}
+	for _, t := range m.tasks {
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: t.name, Try: t.try, Status: t.status, Cause: t.cause})
+	}
+	return r
+}
+
+func (m *worker) send(r *protocol.Report, to int, epoch uint64, sent time.Time) {
+	w := m.w
+	time.Sleep(time.Duration(1+w.intn(30)) * time.Millisecond)
+	w.mu.Lock()
+	n, cut := w.nodes[to].node, w.nodes[to].cutW
+	held := w.rnd.IntN(60) == 0
+	late := time.Duration(4+w.rnd.IntN(40)) * time.Second
+	w.mu.Unlock()
+	status, orders, answerTo := 0, protocol.Orders{}, ""
+	if held { // delivered, but so late that nobody waits for the answer
+		w.goes(func() {
+			time.Sleep(late)
+			if n := w.node(to); n != nil && w.ctx.Err() == nil {
+				n.Checkin(r)
+			}
+		})
+		time.Sleep(4 * time.Second)
+	} else if n != nil && !cut {
+		status, orders, answerTo = n.Checkin(r)
+		time.Sleep(time.Duration(1+w.intn(30)) * time.Millisecond)
+		if w.chance(0.02) { // the answer is lost
+			time.Sleep(4 * time.Second)
+			status = 0
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m.dead {
+		return
+	}
+	switch {
+	case status == 200:
+		if m.epoch != epoch || orders.Baton < m.baton {
+			return
+		}
+		if orders.Baton > m.baton {
+			m.baton, m.changed = orders.Baton, true
+		}
+		m.sent = sent
+		m.obey(orders.Orders)
+	case status == 421 && answerTo != "" && answerTo != w.nodes[to].name:
+		for i, o := range w.nodes {
+			if o.name == answerTo {
+				m.node = i
+			}
+		}
+		m.changed = true
+	default:
+		m.node = (to + 1) % len(w.nodes)
+		m.changed = true
+	}
+}
+
+// obey carries orders out; the world's lock is held.
+func (m *worker) obey(orders []protocol.Order) {
+	for _, o := range orders {
+		t := m.tasks[o.Task]
+		switch o.Verb {
+		case protocol.VerbStart:
+			m.start(o, t)
+		case protocol.VerbHalt:
+			if t == nil || t.try != o.Try || t.status == protocol.Ended {
+				continue
+			}
+			m.changed = true
+			mercy := 0.0
+			if o.MercyS != nil {
+				mercy = *o.MercyS
+			}
+			if t.status == protocol.Running && t.job.SaveS > 0 && mercy >= t.job.SaveTake {
+				t.status, t.until = protocol.Saving, time.Now().Add(config.Seconds(t.job.SaveTake))
+			} else if t.status != protocol.Saving || mercy == 0 {
+				m.off(t)
+				t.status, t.cause = protocol.Ended, protocol.CauseHalted
+			}
+		case protocol.VerbClear:
+			if t != nil && t.try == o.Try && t.status == protocol.Ended {
+				delete(m.tasks, o.Task)
+			}
+		}
+	}
+}
+
+func (m *worker) start(o protocol.Order, t *wtask) {
+	m.changed = true
+	if t != nil && t.try == o.Try {
+		return
+	}
+	id, _, _ := protocol.SplitTask(o.Task)
+	j := m.w.specs[id]
+	cause := ""
+	free := m.breed.Cores
+	for _, x := range m.tasks {
+		if x.status != protocol.Ended {
+			free -= x.job.Cores
+		}
+	}
+	switch {
+	case t != nil && t.status != protocol.Ended:
+		return // in use
+	case j == nil:
+		return
+	case free < j.Cores-1e-9:
+		cause = "full"
+	}
+	n := &wtask{name: o.Task, job: j, try: o.Try, status: protocol.Fetching, until: time.Now().Add(config.Seconds(j.ImageGB))}
+	if cause != "" {
+		n.status, n.cause = protocol.Ended, cause
+	}
+	m.tasks[o.Task] = n
+}
+
+// direct delivers commands sent straight to a worker, some of them late.
+func (w *world) direct(ctx context.Context, address string, d protocol.Direct) error {
+	delay := time.Duration(1+w.intn(30)) * time.Millisecond
+	if w.chance(0.1) {
+		delay = time.Duration(w.intn(60)) * time.Second
+	}
+	w.goes(func() {
+		time.Sleep(delay)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		m := w.workers[address]
+		if m == nil || m.dead || d.Baton < m.baton || d.Stint != m.stint {
+			return
+		}
+		m.baton = d.Baton
+		m.tally++
+		m.obey(d.Orders)
+	})
+	return nil
+}
+
+// Users.
+
+// user submits a job, polls it and may cancel it; every answer is held against
+// what is known.
+func (w *world) user(j *protocol.Job, wait time.Duration, quit bool) {
+	time.Sleep(wait)
+	ctx := w.ctx
+	w.mu.Lock()
+	w.specs[j.ID] = j
+	w.mu.Unlock()
+	for ok := false; !ok && ctx.Err() == nil; {
+		if n := w.node(w.intn(len(w.nodes))); n != nil {
+			c := *j
+			st, _, err := n.Submit(ctx, &c)
+			if err == nil {
+				ok = true
+				w.saw(j.ID, st.Status)
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	w.mu.Lock()
+	w.accepted[j.ID] = true
+	w.mu.Unlock()
+	withdraw := time.Now().Add(time.Duration(w.intn(60)) * time.Second)
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(500+w.intn(5000)) * time.Millisecond)
+		n := w.node(w.intn(len(w.nodes)))
+		if n == nil {
+			continue
+		}
+		var st protocol.JobStatus
+		var found bool
+		var err error
+		if quit && time.Now().After(withdraw) {
+			w.mu.Lock()
+			w.cancel[j.ID] = true
+			w.mu.Unlock()
+			st, found, err = n.Withdraw(ctx, j.ID)
+		} else {
+			st, found, err = n.Poll(ctx, j.ID)
+		}
+		if err != nil || ctx.Err() != nil {
+			continue
+		}
+		if !found {
+			w.mu.Lock()
+			w.breakf("forgotten: %s", j.ID)
+			w.mu.Unlock()
+			continue
+		}
+		w.saw(j.ID, st.Status)
+		if _, found, err := n.Poll(ctx, "wk-9"+j.ID[3:]); err == nil && found {
+			w.mu.Lock()
+			w.breakf("invented: wk-9%s", j.ID[3:])
+			w.mu.Unlock()
+		}
+	}
+}
+
+// saw checks an answer against the world.
+func (w *world) saw(id, status string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if was := w.told[id]; was != "" && was != status {
+		w.breakf("went_back: %s from %s to %s", id, was, status)
+	}
+	switch status {
+	case protocol.Done:
+		for t := range w.specs[id].Tasks {
+			if !w.done[protocol.TaskName(id, t)] {
+				w.breakf("not_done: %s", protocol.TaskName(id, t))
+			}
+		}
+		w.told[id] = status
+	case protocol.Withdrawn:
+		if !w.cancel[id] {
+			w.breakf("went_back: %s was never cancelled", id)
+		}
+		if _, ok := w.gone[id]; !ok {
+			w.gone[id] = time.Now()
+		}
+		w.told[id] = status
+	}
+}
+
+// play runs a day of troubles and then a calm, after which every job must be
+// over. It is called in a bubble of simulated time.
+func (w *world) play(jobs int, rough, calm time.Duration) {
+	ctx, stop := context.WithCancel(context.Background())
+	w.ctx = ctx
+	for i := range 3 {
+		w.nodes = append(w.nodes, &simNode{name: fmt.Sprintf("n%d", i)})
+	}
+	for i := range w.nodes {
+		w.start(i)
+	}
+	teams, levels := []string{"red", "blue"}, []string{"low", "normal", "high", "prod"}
+	for k := range jobs {
+		j := &protocol.Job{ID: fmt.Sprintf("wk-%06d", k), Class: "x", Team: teams[w.intn(2)], Shape: "array",
+			Urgency: levels[w.intn(4)], Tasks: 1 + w.intn(9), Cores: float64(1 + w.intn(3)), RAM: 2, Image: fmt.Sprint("i", w.intn(3)),
+			ImageGB: float64(w.intn(4)), GuessS: float64(4 + w.intn(25)), Spot: w.intn(4) > 0}
+		switch w.intn(6) {
+		case 0:
+			j.OneZone = true
+		case 1:
+			j.Spread = true
+		case 2:
+			j.Breeds = []string{"small"}
+		case 3:
+			j.Yard = "a"
+		}
+		if w.intn(3) == 0 {
+			j.SaveS, j.SaveTake = 5, 2
+		}
+		quit := w.intn(4) == 0
+		if k%8 == 7 {
+			j.Shape, j.Tasks, quit = "standing", 1+w.intn(3), true
+		}
+		wait := time.Duration(w.intn(int(rough.Seconds()))) * time.Second
+		w.goes(func() { w.user(j, wait, quit) })
+	}
+	end := time.Now().Add(rough)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(3+w.intn(12)) * time.Second)
+		w.trouble()
+	}
+	w.store.outage(false)
+	w.mu.Lock()
+	w.noCloud = false
+	for _, n := range w.nodes {
+		n.cutW = false
+		if n.wire != nil {
+			n.wire.mu.Lock()
+			n.wire.cut = false
+			n.wire.mu.Unlock()
+		}
+	}
+	for _, m := range w.workers {
+		m.sick = false
+	}
+	w.mu.Unlock()
+	time.Sleep(calm)
+	w.mu.Lock()
+	for id := range w.accepted {
+		if w.told[id] == "" {
+			w.breakf("never over: %s", id)
+		}
+	}
+	w.mu.Unlock()
+	stop()
+	w.wg.Wait()
+	synctest.Wait()
+}
+
+// trouble makes one thing go wrong.
+func (w *world) trouble() {
+	i := w.intn(3)
+	back := time.Duration(1+w.intn(12)) * time.Second
+	some := func(f func(m *worker)) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		var up []*worker
+		for _, m := range w.workers {
+			if m.stint > 0 && !m.dead {
+				up = append(up, m)
+			}
+		}
+		if len(up) > 0 {
+			f(up[w.rnd.IntN(len(up))])
+		}
+	}
+	switch w.intn(10) {
+	case 0:
+		w.kill(i)
+		w.goes(func() { time.Sleep(back); w.startIfDown(i) })
+	case 1:
+		for k := range 3 {
+			w.kill(k)
+			w.goes(func() { time.Sleep(back); w.startIfDown(k) })
+		}
+	case 2:
+		w.store.outage(true)
+		w.goes(func() { time.Sleep(back); w.store.outage(false) })
+	case 3, 4:
+		w.mu.Lock()
+		wr := w.nodes[i].wire
+		w.mu.Unlock()
+		wr.mu.Lock()
+		wr.cut = true
+		wr.mu.Unlock()
+		w.goes(func() { time.Sleep(3 * back); wr.mu.Lock(); wr.cut = false; wr.mu.Unlock() })
+	case 5:
+		w.mu.Lock()
+		w.nodes[i].cutW = true
+		w.mu.Unlock()
+		w.goes(func() { time.Sleep(back); w.mu.Lock(); w.nodes[i].cutW = false; w.mu.Unlock() })
+	case 6:
+		some(func(m *worker) { m.die() })
+	case 7:
+		some(func(m *worker) { m.hung = time.Now().Add(3 * back) })
+	case 8:
+		some(func(m *worker) { m.sick = true })
+	case 9:
+		some(func(m *worker) {
+			s := 10.0
+			m.warn = &s
+			m.changed = true
+			w.wg.Add(1)
+			go func() {
+				defer w.wg.Done()
+				time.Sleep(10 * time.Second)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if w.workers[m.id] == m {
+					m.die()
+					delete(w.workers, m.id)
+				}
+			}()
+		})
+	}
+}
+
+func (w *world) startIfDown(i int) {
+	if w.ctx.Err() == nil && w.node(i) == nil {
+		w.start(i)
+	}
+}
--- /dev/null
+++ b/internal/placement/model_test.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// slowScore is equation (8) written out with the angle itself.
+func slowScore(free, size Vector, p Params) float64 {
+	var rcv, ruv []float64
+	for i := range size {
+		if size[i] > 0 {
+			rcv = append(rcv, free[i]/size[i])
+			ruv = append(ruv, 1-free[i]/size[i])
+		}
+	}
+	norm := func(v []float64) float64 {
+		s := 0.0
+		for _, x := range v {
+			s += x * x
+		}
+		return math.Sqrt(s)
+	}
+	if norm(rcv) == 0 {
+		return 0
+	}
+	theta := 0.0
+	if norm(ruv) > 0 {
+		dot := 0.0
+		for i := range rcv {
+			dot += rcv[i] * ruv[i]
+		}
+		theta = math.Acos(min(1, dot/norm(rcv)/norm(ruv)))
+	}
+	return math.Pow(norm(rcv)/math.Sqrt(float64(len(rcv))), p.A) * math.Pow(math.Sin(theta)+p.C, p.B)
+}
+
+// Best against a search of all machines with the slow score.
+func TestBest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 8).Draw(t, "n")
+		size, free := make([]Vector, n), make([]Vector, n)
+		for i := range n {
+			size[i] = Vector{float64(rapid.IntRange(1, 32).Draw(t, "c")), float64(rapid.IntRange(0, 2).Draw(t, "g")), float64(rapid.IntRange(1, 64).Draw(t, "m"))}
+			for d := range 3 {
+				free[i][d] = float64(rapid.IntRange(0, int(size[i][d])).Draw(t, "f"))
+			}
+		}
+		need := Vector{float64(rapid.IntRange(1, 8).Draw(t, "nc")), 0, float64(rapid.IntRange(0, 8).Draw(t, "nm"))}
+		got := paper.Best(n, func(i int) (Vector, Vector, bool) { return free[i].Sub(need), size[i], free[i].Fits(need) })
+		low := math.Inf(1)
+		for i := range n {
+			if free[i][0] >= need[0] && free[i][2] >= need[2] {
+				low = min(low, slowScore(free[i].Sub(need), size[i], paper))
+			}
+		}
+		if got < 0 {
+			if !math.IsInf(low, 1) {
+				t.Fatalf("none chosen, %v was to be had", low)
+			}
+			return
+		}
+		if !free[got].Fits(need) {
+			t.Fatalf("machine %d does not fit", got)
+		}
+		if s := slowScore(free[got].Sub(need), size[got], paper); s > low+1e-6 {
+			t.Fatalf("chose %v, lowest is %v", s, low)
+		}
+	})
+}
+
+// Sequence against every order: for jobs that share one resource and whose
+// last tasks take no time, none has more jobs in time.
+func TestSequence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 6).Draw(t, "n")
+		jobs := make([]Due, n)
+		for i := range jobs {
+			jobs[i] = Due{Work: float64(rapid.IntRange(1, 9).Draw(t, "w")), Due: float64(rapid.IntRange(0, 20).Draw(t, "d"))}
+		}
+		inTime := func(order []int) int {
+			sum, k := 0.0, 0
+			for _, i := range order {
+				sum += jobs[i].Work
+				if sum <= jobs[i].Due {
+					k++
+				}
+			}
+			return k
+		}
+		most := 0
+		var try func(order []int, used int)
+		try = func(order []int, used int) {
+			if len(order) == n {
+				most = max(most, inTime(order))
+				return
+			}
+			for i := range n {
+				if used&(1<<i) == 0 {
+					try(append(order[:len(order):len(order)], i), used|1<<i)
+				}
+			}
+		}
+		try(nil, 0)
+		got := Sequence(jobs, 1, func(int) float64 { return 0 })
+		if len(got) != n || inTime(got) != most {
+			t.Fatalf("%v has %d in time, %d can be", got, inTime(got), most)
+		}
+	})
+}
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -41,13 +41,24 @@
 
 // NewClient returns a client that uses at most a share of the service's limits.
 func NewClient(addr string, rps, writeRPS float64, nodes int) *Client {
+	c := NewClientOver(nil, rps, writeRPS, nodes)
+	c.base = "http://" + addr
+	c.http = transport.NewClient(8, 2*time.Second)
+	c.watch = transport.NewClient(2, time.Minute)
+	c.renew = transport.NewClient(2, time.Second)
+	return c
+}
+
+// NewClientOver returns a client over a round tripper of the caller's own.
+func NewClientOver(rt http.RoundTripper, rps, writeRPS float64, nodes int) *Client {
 	share := func(v float64) *rate.Limiter {
 		v = v / float64(nodes) * 0.9
 		return rate.NewLimiter(rate.Limit(v), max(1, int(v)))
 	}
-	return &Client{base: "http://" + addr,
-		http: transport.NewClient(8, 2*time.Second), watch: transport.NewClient(2, time.Minute),
-		renew: transport.NewClient(2, time.Second), requests: share(rps), changes: share(writeRPS)}
+	return &Client{base: "http://state", requests: share(rps), changes: share(writeRPS),
+		http:  transport.NewClientOver(rt, 2*time.Second),
+		watch: transport.NewClientOver(rt, time.Minute),
+		renew: transport.NewClientOver(rt, time.Second)}
 }
 
 func outcome(err error) error {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -22,7 +22,7 @@
 // NewClient returns a client that keeps at most conns connections to a host
 // and gives a call up after timeout, unless its context ends sooner.
 func NewClient(conns int, timeout time.Duration) *Client {
-	return &Client{timeout: timeout, http: &http.Client{Transport: &http.Transport{
+	return NewClientOver(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: timeout, KeepAlive: -1}).DialContext,
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
@@ -31,7 +31,12 @@
 		DisableCompression:  true,
 		WriteBufferSize:     4 << 10,
 		ReadBufferSize:      4 << 10,
-	}}}
+	}, timeout)
+}
+
+// NewClientOver returns a client over a round tripper of the caller's own.
+func NewClientOver(rt http.RoundTripper, timeout time.Duration) *Client {
+	return &Client{timeout: timeout, http: &http.Client{Transport: rt}}
 }
 
 // StatusError is an answer that the caller did not ask for.
