--- a/cmd/reedtrack/main.go
+++ b/cmd/reedtrack/main.go
@@ -21,15 +21,32 @@
 )
 
 type cli struct {
-	Daemon  daemonCmd  `cmd:"" default:"withargs" help:"Run a controller (the default)."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Daemon   daemonCmd   `cmd:"" default:"withargs" help:"Run a controller (the default)."`
+	Check    checkCmd    `cmd:"" help:"Check settings and print what follows from them."`
+	Submit   submitCmd   `cmd:"" help:"Submit a job."`
+	Status   statusCmd   `cmd:"" help:"Tell a job's status."`
+	Withdraw withdrawCmd `cmd:"" help:"Cancel a job."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
-type daemonCmd struct {
+type settingsFlags struct {
 	Config   string `required:"" placeholder:"FILE" help:"Settings of the platform (TOML)."`
 	Operator string `placeholder:"FILE" env:"REEDTRACK_OPERATOR" help:"Operators' own settings (XML)."`
 }
 
+func (f *settingsFlags) load() (*config.Settings, config.Operator, error) {
+	set, err := config.Load(f.Config)
+	if err != nil {
+		return nil, config.Operator{}, err
+	}
+	op, err := set.LoadOperator(f.Operator)
+	return set, op, err
+}
+
+type daemonCmd struct{ settingsFlags }
+
+type checkCmd struct{ settingsFlags }
+
 type versionCmd struct{}
 
 // version is the release; the build may set it.
@@ -41,27 +58,51 @@
 	return nil
 }
 
-func main() {
-	var c cli
-	parser, err := kong.New(&c, kong.Name("reedtrack"), kong.Description("A cluster scheduler for rented machines."))
+// Run checks the settings.
+func (c *checkCmd) Run() error {
+	set, op, err := c.load()
 	if err != nil {
-		panic(err)
+		return err
+	}
+	t := set.Timing(op)
+	fmt.Printf("%s at %s, %d controllers, %d teams\n", set.HostName, set.Listen, set.Deployment.Count, len(set.Deployment.Teams))
+	fmt.Printf("ucfit              a=%g b=%g c=%g\n", op.A, op.B, op.C)
+	fmt.Printf("shards             %d, each filled to %d machines before the next\n", op.Shards, op.Fill)
+	fmt.Printf("idle-boots         %g\n", op.Idle)
+	fmt.Printf("holder-lease-s     %.3f, acts for %.3f s after a renewal\n", t.HolderLease.Seconds(), t.Act.Seconds())
+	fmt.Printf("worker is gone     after %.3f s of silence\n", t.WorkerGone.Seconds())
+	fmt.Printf("status-listen      %s\n", or(op.Status, "none"))
+	w := set.Deployment.Workers
+	fmt.Printf("safe               holder lease %.3f + workers.lease_s %g + margins %.3f < workers.cancel_s %g\n",
+		op.HolderLease.Seconds(), w.LeaseS, 2*set.Margin().Seconds(), w.CancelS)
+	return nil
+}
+
+func or(a, b string) string {
+	if a == "" {
+		return b
 	}
+	return a
+}
+
+func main() {
+	var c cli
+	parser := kong.Must(&c, kong.Name("reedtrack"), kong.Description(
+		"A cluster scheduler for rented machines. Exit status: 0 done, 1 refused or failed, 2 bad arguments or settings, 3 no final answer in time."))
 	ctx, err := parser.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "reedtrack:", err)
 		os.Exit(2)
 	}
-	err = ctx.Run()
+	if err = ctx.Run(); err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "reedtrack:", err)
 	var fe *config.FieldError
-	switch {
-	case errors.As(err, &fe):
-		fmt.Fprintln(os.Stderr, "reedtrack:", err)
+	if errors.As(err, &fe) {
 		os.Exit(2)
-	case err != nil:
-		fmt.Fprintln(os.Stderr, "reedtrack:", err)
-		os.Exit(1)
 	}
+	os.Exit(exitStatus(err))
 }
 
 func level() slog.Level {
@@ -74,14 +115,10 @@
 	return slog.LevelInfo
 }
 
-// Run starts the daemon.
+// Run runs the daemon until it is ended.
 func (d *daemonCmd) Run() error {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level()})))
-	set, err := config.Load(d.Config)
-	if err != nil {
-		return err
-	}
-	op, err := set.LoadOperator(d.Operator)
+	set, op, err := d.load()
 	if err != nil {
 		return err
 	}
@@ -113,6 +150,13 @@
 	srv := transport.NewServer(coordination.Service{Node: node}, 128)
 	go transport.ServeLinks(ctx, peerLn, 4*max(1, len(peers)), node.Hear)
 	go srv.Serve(ln)
+	if op.Status != "" {
+		statusLn, err := net.Listen("tcp", op.Status)
+		if err != nil {
+			return err
+		}
+		go transport.NewOperatorServer(node).Serve(transport.LimitListener(statusLn, 8))
+	}
 	slog.Info("started", "name", set.HostName, "listen", set.Listen, "holder_lease", op.HolderLease)
 	node.Run(ctx)
 	return srv.Close()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -46,7 +46,7 @@
 		}
 		return c.NoContent(http.StatusServiceUnavailable)
 	})
-	e.POST("/checkin", func(c echo.Context) error {
+	e.POST("/checkin", measure("report", func(c echo.Context) error {
 		// A report lists every task of its machine and may be long; a line
 		// is never bounded by what users may send.
 		raw, err := readBody(c, 8<<20)
@@ -54,20 +54,20 @@
 			return reply(c)(http.StatusBadRequest, protocol.Failure{Error: err.Error(), Field: "body"})
 		}
 		return reply(c)(s.Checkin(raw))
-	})
-	e.POST("/v1/jobs", user(func(c echo.Context) (int, any) {
+	}))
+	e.POST("/v1/jobs", measure("submit", user(func(c echo.Context) (int, any) {
 		raw, err := readBody(c, protocol.MaxBody)
 		if err != nil {
 			return http.StatusBadRequest, protocol.Failure{Error: err.Error(), Field: "body"}
 		}
 		return s.Submit(c.Request().Context(), raw)
-	}))
-	e.GET("/v1/jobs/:id", user(func(c echo.Context) (int, any) {
+	})))
+	e.GET("/v1/jobs/:id", measure("poll", user(func(c echo.Context) (int, any) {
 		return s.Poll(c.Request().Context(), c.Param("id"))
-	}))
-	e.POST("/v1/jobs/:id/withdraw", user(func(c echo.Context) (int, any) {
+	})))
+	e.POST("/v1/jobs/:id/withdraw", measure("withdraw", user(func(c echo.Context) (int, any) {
 		return s.Withdraw(c.Request().Context(), c.Param("id"))
-	}))
+	})))
 	return &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 3 * time.Minute, MaxHeaderBytes: 16 << 10}
 }
 
