--- a/cmd/reedtrack/client.go
+++ b/cmd/reedtrack/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"reedtrack/internal/protocol"
@@ -24,7 +25,7 @@
 // show prints a job's status.
 func (f *clientFlags) show(raw []byte) error {
 	if f.JSON {
-		_, err := fmt.Println(string(raw))
+		_, err := fmt.Println(strings.TrimSpace(string(raw)))
 		return err
 	}
 	var st protocol.JobStatus
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,83 @@
+// Command standin runs stand-ins for the state service, the cloud and its
+// workers on the loopback interface, so that reedtrack can be tried out on one
+// machine. It writes settings for three controllers into a folder.
+package main
+
+import (
+	"fmt"
+	"log"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"github.com/alecthomas/kong"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/standin"
+)
+
+var cli struct {
+	Dir string `arg:"" help:"Folder for the controllers' settings; made if need be."`
+}
+
+const settings = `host_name = "reed-%[1]d"
+location = "a"
+listen = "127.0.0.1:808%[1]d"
+peer_bind = "127.0.0.1:809%[1]d"
+%[2]s
+[services]
+cloud = "127.0.0.1:8070"
+state = "127.0.0.1:8071"
+[deployment]
+count = 3
+zones = ["a", "b"]
+[[deployment.teams]]
+name = "demo"
+cpus = 8.0
+cpus_max = 32.0
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 24.0
+[deployment.state]
+rps = 500.0
+write_rps = 200.0
+value_kb = 32.0
+txn_ops = 12
+[deployment.cloud]
+rps = 10.0
+list_lag_s = 1.0
+[deployment.limits]
+cpu_share = 1.0
+memory_mb = 256.0
+max_sockets = 500
+`
+
+func main() {
+	kong.Parse(&cli, kong.Description("Stand-ins for trying reedtrack out on one machine."))
+	if err := os.MkdirAll(cli.Dir, 0o755); err != nil {
+		log.Fatal(err)
+	}
+	nodes := map[string]string{}
+	for i := range 3 {
+		siblings := ""
+		for k := range 3 {
+			if k != i {
+				siblings += fmt.Sprintf("[[siblings]]\nhost_name = \"reed-%d\"\nlocation = \"a\"\naddress = \"127.0.0.1:809%d\"\n", k, k)
+			}
+		}
+		nodes[fmt.Sprintf("reed-%d", i)] = fmt.Sprintf("127.0.0.1:808%d", i)
+		path := filepath.Join(cli.Dir, fmt.Sprintf("reed-%d.toml", i))
+		if err := os.WriteFile(path, fmt.Appendf(nil, settings, i, siblings), 0o644); err != nil {
+			log.Fatal(err)
+		}
+		fmt.Println("wrote", path)
+	}
+	breeds := []protocol.Breed{
+		{Name: "small", Cores: 4, RAM: 16, CacheGB: 50, FetchGB: 1, Rate: 0.3, LowRate: 0.1, ReadyS: 3, Zones: []string{"a", "b"}},
+		{Name: "big", Cores: 16, RAM: 64, CacheGB: 50, FetchGB: 1, Rate: 1.1, LowRate: 0.4, ReadyS: 5, Zones: []string{"a"}},
+	}
+	go func() { log.Fatal(http.ListenAndServe("127.0.0.1:8071", standin.NewStore())) }()
+	fmt.Println("state service on 127.0.0.1:8071, cloud on 127.0.0.1:8070")
+	log.Fatal(http.ListenAndServe("127.0.0.1:8070", standin.NewFleet(breeds, nodes, 1, 10)))
+}
--- /dev/null
+++ b/internal/coordination/service_test.go
@@ -0,0 +1,103 @@
+package coordination
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+const submission = `{"id":"wk-000001","jobclass":"x","owner":"red","shape":"array","urgency":"low","parts":2,"cores":1,
+ "cards":0,"ram_gb":1,"bundle":"i","pull_gb":1,"one_zone":false,"spread":false,"loaners":true,"guess_s":5,
+ "save_every_s":0,"save_takes_s":0}`
+
+// What users are answered, from before the first lease to after an outage.
+func TestAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, nil)
+		ctx, stop := context.WithCancel(context.Background())
+		w.ctx = ctx
+		w.nodes = []*simNode{{name: "n0"}}
+		n := New(w.set, w.set.Defaults(), storage.NewClientOver(&wire{s: w.store, rnd: rand.New(rand.NewPCG(1, 1))}, 300, 200, 1),
+			simCloud{w}, nil, w.direct)
+		s := Service{n}
+		submit := func(old, new string) int {
+			code, _ := s.Submit(ctx, []byte(strings.Replace(submission, old, new, 1)))
+			return code
+		}
+		want := func(what string, got, want int) {
+			t.Helper()
+			if got != want {
+				t.Errorf("%s: %d, want %d", what, got, want)
+			}
+		}
+		want("before the first lease", submit("", ""), http.StatusServiceUnavailable)
+		w.goes(func() { n.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		want("new", submit("", ""), http.StatusCreated)
+		want("again", submit("", ""), http.StatusOK)
+		want("malformed", submit(`"parts":2`, `"parts":"2"`), http.StatusBadRequest)
+		want("unknown team", submit(`"red"`, `"green"`), http.StatusOK) // accepted before under this id
+		want("unknown team", submit(`"wk-000001","jobclass":"x","owner":"red"`, `"wk-000002","jobclass":"x","owner":"green"`), http.StatusUnprocessableEntity)
+		want("too large", submit(`"wk-000001","jobclass":"x","owner":"red","shape":"array","urgency":"low","parts":2,"cores":1`,
+			`"wk-000002","jobclass":"x","owner":"red","shape":"array","urgency":"low","parts":2,"cores":100`), http.StatusUnprocessableEntity)
+		want("service over the limit", submit(`"wk-000001","jobclass":"x","owner":"red","shape":"array","urgency":"low","parts":2,"cores":1`,
+			`"wk-000002","jobclass":"x","owner":"red","shape":"standing","urgency":"low","parts":15,"cores":1`), http.StatusUnprocessableEntity)
+		code, _ := s.Poll(ctx, "wk-000001")
+		want("poll", code, http.StatusOK)
+		code, _ = s.Poll(ctx, "wk-000009")
+		want("poll of nothing", code, http.StatusNotFound)
+		code, _ = s.Poll(ctx, "..")
+		want("poll of no id", code, http.StatusNotFound)
+		w.store.Outage(true)
+		code, _ = s.Poll(ctx, "wk-000009")
+		want("poll of nothing in an outage", code, http.StatusServiceUnavailable)
+		code, _ = s.Withdraw(ctx, "wk-000001")
+		want("cancellation in an outage", code, http.StatusServiceUnavailable)
+		w.store.Outage(false)
+		code, answer := s.Withdraw(ctx, "wk-000001")
+		want("cancellation", code, http.StatusOK)
+		if st := answer.(protocol.JobStatus); st.Status != protocol.Withdrawn {
+			t.Errorf("cancelled, but %+v", st)
+		}
+		want("again after the end", submit("", ""), http.StatusOK)
+		stop()
+		w.wg.Wait()
+	})
+}
+
+// A report that can't be read is refused, an old one changes nothing, and a
+// record that can't be read is left alone.
+func TestBadInput(t *testing.T) {
+	n := New(newWorld(1, nil).set, newWorld(1, nil).set.Defaults(), nil, nil, nil, nil)
+	s := Service{n}
+	if code, _ := s.Checkin([]byte(`{"reed":"host-1"}`)); code != http.StatusBadRequest {
+		t.Errorf("a report without a type: %d", code)
+	}
+	if code, _ := s.Checkin([]byte(`{"reed":"host-1","breed":"small","yard":"a","stint":1,"parts":[]}`)); code != http.StatusServiceUnavailable {
+		t.Errorf("without a lease: %d", code)
+	}
+	n.apply(storage.JobKey("wk-1"), []byte(`{"spec":{"id":"wk-1","parts":3},"shard":0,"at":1,"done":"0-1"}`), 5)
+	n.apply(storage.JobKey("wk-1"), []byte(`{"spec":{"id":"wk-1","parts":3},"done":"9"}`), 6)
+	n.apply(storage.JobKey("wk-1"), []byte(`no record`), 7)
+	if jr := n.jobs["wk-1"]; jr == nil || jr.stamp != 5 {
+		t.Errorf("an unreadable record was taken for something: %+v", jr)
+	}
+	now := time.Now()
+	sh := newShard(0, storage.Shard{Term: 3}, 1, now)
+	sh.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "m", Breed: "small", Zone: "a", Term: 4}}}, n.size, now)
+	m := sh.machines["m"]
+	sh.report(m, &protocol.Report{Machine: "m", Stint: 2, Tally: 9}, now)
+	if sh.report(m, &protocol.Report{Machine: "m", Stint: 2, Tally: 8, Tasks: []protocol.TaskReport{{Task: "wk-1/0", Try: 1, Status: protocol.Running}}}, now) {
+		t.Error("an old report was taken in")
+	}
+	if len(m.stray) != 0 || m.tally != 9 {
+		t.Error("an old report changed something")
+	}
+}
--- /dev/null
+++ b/internal/coordination/wire_test.go
@@ -0,0 +1,63 @@
+package coordination
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/standin"
+)
+
+// wire is one controller's way to the store: it delays, loses and holds back.
+type wire struct {
+	s   *standin.Store
+	mu  sync.Mutex
+	rnd *rand.Rand
+	cut bool // the store refuses this controller alone
+	bad float64
+}
+
+func (w *wire) RoundTrip(r *http.Request) (*http.Response, error) {
+	var body []byte
+	if r.Body != nil {
+		body, _ = io.ReadAll(r.Body)
+		r.Body.Close()
+	}
+	w.mu.Lock()
+	delay := time.Duration(1+w.rnd.IntN(20)) * time.Millisecond
+	cut, fate, late := w.cut, w.rnd.Float64(), time.Duration(w.rnd.IntN(20000))*time.Millisecond
+	bad := w.bad
+	w.mu.Unlock()
+	time.Sleep(delay)
+	ctx := r.Context()
+	status, answer := 503, any(protocol.Failure{Error: "trouble"})
+	switch {
+	case cut && r.URL.Path == "/follow":
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case cut:
+	case r.URL.Path == "/multi" && fate < bad:
+		// No answer; carried out now, later or never.
+		if fate < bad*2/3 {
+			if fate < bad/3 {
+				late = 0
+			}
+			time.AfterFunc(late, func() { w.s.Serve(context.Background(), r.Method, r.URL.Path, r.URL.Query(), body) })
+		}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	default:
+		status, answer = w.s.Serve(ctx, r.Method, r.URL.Path, r.URL.Query(), body)
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	raw, _ := json.Marshal(answer)
+	return &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(raw)), Header: http.Header{}, Request: r}, nil
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -12,6 +12,7 @@
 
 	"reedtrack/internal/config"
 	"reedtrack/internal/protocol"
+	"reedtrack/internal/standin"
 	"reedtrack/internal/storage"
 )
 
@@ -20,7 +21,7 @@
 // with the whole picture.
 type world struct {
 	set   *config.Settings
-	store *store
+	store *standin.Store
 	rnd   *rand.Rand
 	mu    sync.Mutex // guards all below
 
@@ -69,7 +70,7 @@
 	d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 300, 200, 16, 12
 	d.Cloud.RPS, d.Cloud.ListLagS = 10, 2
 	d.Limits.CPUShare = 0.1
-	return &world{set: set, store: newStore(), rnd: rand.New(rand.NewPCG(seed, 1)), tweak: tweak,
+	return &world{set: set, store: standin.NewStore(), rnd: rand.New(rand.NewPCG(seed, 1)), tweak: tweak,
 		workers: map[string]*worker{}, ready: map[string]time.Time{}, asks: map[string][]string{},
 		specs: map[string]*protocol.Job{}, told: map[string]string{}, accepted: map[string]bool{},
 		gone: map[string]time.Time{}, cancel: map[string]bool{}, done: map[string]bool{},
@@ -712,7 +713,7 @@
 		time.Sleep(time.Duration(3+w.intn(12)) * time.Second)
 		w.trouble()
 	}
-	w.store.outage(false)
+	w.store.Outage(false)
 	w.mu.Lock()
 	w.noCloud = false
 	for _, n := range w.nodes {
@@ -767,8 +768,8 @@
 			w.goes(func() { time.Sleep(back); w.startIfDown(k) })
 		}
 	case 2:
-		w.store.outage(true)
-		w.goes(func() { time.Sleep(back); w.store.outage(false) })
+		w.store.Outage(true)
+		w.goes(func() { time.Sleep(back); w.store.Outage(false) })
 	case 3, 4:
 		w.mu.Lock()
 		wr := w.nodes[i].wire
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -134,15 +134,13 @@
 	if _, ok := urgencies[j.Urgency]; !ok {
 		return nil, &BadField{"urgency", "must be prod, high, normal or low"}
 	}
-	var n json.Number
-	if err := read("parts", &n, "a whole number"); err != nil {
+	// Not json.Number, which also takes a number in quotes.
+	if err := read("parts", &j.Tasks, "a whole number"); err != nil {
 		return nil, err
 	}
-	parts, err := strconv.Atoi(n.String())
-	if err != nil || parts < 1 || parts > 100000 {
-		return nil, &BadField{"parts", "must be a whole number from 1 to 100000"}
+	if j.Tasks < 1 || j.Tasks > 100000 {
+		return nil, &BadField{"parts", "must be from 1 to 100000"}
 	}
-	j.Tasks = parts
 	amount := func(name string, to *float64) error {
 		if err := read(name, to, "a number"); err != nil {
 			return err
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,264 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"reedtrack/internal/protocol"
+)
+
+// Fleet stands in for the cloud and its workers, in real time and over HTTP.
+// Its machines boot in a few seconds; their tasks sleep for their job's guess.
+type Fleet struct {
+	Breeds  []protocol.Breed
+	Nodes   map[string]string // controllers, name to address
+	ReportS float64
+	LeaseS  float64
+	Most    int // machines to be had
+
+	mu       sync.Mutex
+	next     int
+	machines map[string]*machine
+	asks     map[string][]string
+	jobs     map[string]*protocol.Job
+	client   http.Client
+}
+
+type machine struct {
+	f            *Fleet
+	kind         protocol.Rental
+	id           string
+	born         time.Time
+	up, gone     bool
+	stint, tally uint64
+	baton        uint64
+	sent         time.Time
+	tasks        map[string]*task
+	changed      chan struct{}
+}
+
+type task struct {
+	protocol.TaskReport
+	timer *time.Timer
+}
+
+// NewFleet returns a fleet of no machines.
+func NewFleet(breeds []protocol.Breed, nodes map[string]string, reportS, leaseS float64) *Fleet {
+	return &Fleet{Breeds: breeds, Nodes: nodes, ReportS: reportS, LeaseS: leaseS, Most: 20, machines: map[string]*machine{},
+		asks: map[string][]string{}, jobs: map[string]*protocol.Job{}, client: http.Client{Timeout: 4 * time.Second}}
+}
+
+// ServeHTTP answers as the cloud, and takes job descriptions at /describe,
+// which is how workers learn what a task is.
+func (f *Fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case r.URL.Path == "/catalog":
+		answerJSON(w, 200, protocol.Catalog{Breeds: f.Breeds})
+	case r.URL.Path == "/describe":
+		j, err := protocol.ParseJob(body)
+		if err != nil {
+			answerJSON(w, 400, protocol.Failure{Error: err.Error()})
+			return
+		}
+		f.jobs[j.ID] = j
+		answerJSON(w, 200, struct{}{})
+	case r.URL.Path == "/machines" && r.Method == http.MethodPost:
+		var q protocol.Rental
+		if json.Unmarshal(body, &q) != nil || q.Ask == "" || q.HowMany < 1 || q.HowMany > protocol.MaxRental {
+			answerJSON(w, 400, protocol.Failure{Error: "malformed"})
+			return
+		}
+		names, ok := f.rent(q)
+		if !ok {
+			answerJSON(w, 503, protocol.Failure{Error: "no capacity"})
+			return
+		}
+		answerJSON(w, 200, protocol.MachineNames{Machines: names})
+	case r.URL.Path == "/machines/release":
+		var q protocol.MachineNames
+		json.Unmarshal(body, &q)
+		for _, id := range q.Machines {
+			if m := f.machines[id]; m != nil {
+				m.gone = true
+				delete(f.machines, id)
+			}
+		}
+		answerJSON(w, 200, struct{}{})
+	case r.URL.Path == "/machines":
+		answerJSON(w, 200, f.list(r.URL.Query().Get("since")))
+	default:
+		answerJSON(w, 404, protocol.Failure{Error: "no such path"})
+	}
+}
+
+func (f *Fleet) rent(q protocol.Rental) ([]string, bool) {
+	if names, ok := f.asks[q.Ask]; ok {
+		return names, true
+	}
+	var names []string
+	for _, b := range f.Breeds {
+		if b.Name != q.Breed {
+			continue
+		}
+		for range min(q.HowMany, f.Most-len(f.machines)) {
+			f.next++
+			m := &machine{f: f, kind: q, id: fmt.Sprintf("host-%06d", f.next), born: time.Now(), stint: 1,
+				tasks: map[string]*task{}, changed: make(chan struct{}, 1)}
+			f.machines[m.id] = m
+			names = append(names, m.id)
+			time.AfterFunc(time.Duration(b.ReadyS*float64(time.Second)), func() { m.run() })
+		}
+	}
+	if len(names) == 0 {
+		return nil, false
+	}
+	f.asks[q.Ask] = names
+	return names, true
+}
+
+func (f *Fleet) list(since string) protocol.MachineList {
+	var l protocol.MachineList
+	for id, m := range f.machines {
+		if id <= since {
+			continue
+		}
+		status := "starting"
+		if m.up {
+			status = "running"
+		}
+		l.Machines = append(l.Machines, protocol.ListedMachine{ID: id, Breed: m.kind.Breed, Zone: m.kind.Zone,
+			Spot: m.kind.Spot, Status: status, AgeS: time.Since(m.born).Seconds()})
+	}
+	slices.SortFunc(l.Machines, func(a, b protocol.ListedMachine) int { return strings.Compare(a.ID, b.ID) })
+	return l
+}
+
+// run is the worker: it reports until its machine is released.
+func (m *machine) run() {
+	var names []string
+	for name := range m.f.Nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	at := names[0]
+	m.f.mu.Lock()
+	m.up, m.sent = true, time.Now()
+	m.f.mu.Unlock()
+	for {
+		m.f.mu.Lock()
+		if m.gone {
+			m.f.mu.Unlock()
+			return
+		}
+		if time.Since(m.sent).Seconds() > m.f.LeaseS {
+			for _, t := range m.tasks {
+				t.timer.Stop()
+			}
+			m.tasks = map[string]*task{}
+			m.stint++
+			m.sent = time.Now()
+		}
+		m.tally++
+		rep := protocol.Report{Machine: m.id, Breed: m.kind.Breed, Zone: m.kind.Zone, Spot: m.kind.Spot, Stint: m.stint, Tally: m.tally, Baton: m.baton}
+		for _, t := range m.tasks {
+			rep.Tasks = append(rep.Tasks, t.TaskReport)
+		}
+		m.f.mu.Unlock()
+		sent := time.Now()
+		status, orders, to := m.f.checkin(m.f.Nodes[at], rep)
+		m.f.mu.Lock()
+		switch {
+		case status == http.StatusOK && orders.Baton >= m.baton:
+			m.baton, m.sent = orders.Baton, sent
+			for _, o := range orders.Orders {
+				m.obey(o)
+			}
+		case status == http.StatusMisdirectedRequest && m.f.Nodes[to] != "" && to != at:
+			at = to
+			m.poke()
+		default:
+			at = names[(slices.Index(names, at)+1)%len(names)]
+			time.AfterFunc(time.Second, m.poke)
+		}
+		m.f.mu.Unlock()
+		select {
+		case <-m.changed:
+			time.Sleep(200 * time.Millisecond)
+		case <-time.After(time.Duration(m.f.ReportS * float64(time.Second))):
+		}
+	}
+}
+
+func (m *machine) poke() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Fleet) checkin(addr string, rep protocol.Report) (int, protocol.Orders, string) {
+	raw, _ := json.Marshal(rep)
+	resp, err := f.client.Post("http://"+addr+"/checkin", "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return 0, protocol.Orders{}, ""
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		protocol.Orders
+		protocol.Redirect
+	}
+	json.NewDecoder(resp.Body).Decode(&answer)
+	return resp.StatusCode, answer.Orders, answer.AnswerTo
+}
+
+// obey carries an order out; the fleet's lock is held.
+func (m *machine) obey(o protocol.Order) {
+	t := m.tasks[o.Task]
+	switch o.Verb {
+	case protocol.VerbStart:
+		if t != nil {
+			return
+		}
+		id, _, _ := protocol.SplitTask(o.Task)
+		t = &task{TaskReport: protocol.TaskReport{Task: o.Task, Try: o.Try, Status: protocol.Running}}
+		m.tasks[o.Task] = t
+		j := m.f.jobs[id]
+		if j == nil {
+			t.Status, t.Cause = protocol.Ended, "no_such"
+			m.poke()
+			return
+		}
+		length := time.Duration(j.GuessS * float64(time.Second))
+		if j.Standing() {
+			length = 24 * time.Hour
+		}
+		t.timer = time.AfterFunc(length, func() {
+			m.f.mu.Lock()
+			defer m.f.mu.Unlock()
+			if t.Status == protocol.Running {
+				t.Status, t.Cause = protocol.Ended, protocol.CauseDone
+				m.poke()
+			}
+		})
+	case protocol.VerbHalt:
+		if t != nil && t.Try == o.Try && t.Status == protocol.Running {
+			t.timer.Stop()
+			t.Status, t.Cause = protocol.Ended, protocol.CauseHalted
+			m.poke()
+		}
+	case protocol.VerbClear:
+		if t != nil && t.Try == o.Try && t.Status == protocol.Ended {
+			delete(m.tasks, o.Task)
+		}
+	}
+}
--- a/internal/coordination/state_test.go
+++ b/internal/standin/store.go
@@ -1,12 +1,13 @@
-package coordination
+// Package standin holds stand-ins for the services around reedtrack, written from
+// the protocol: for tests in simulated time and for trying the program out on one
+// machine. Nothing in it is meant for use in earnest.
+package standin
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -16,9 +17,9 @@
 	"reedtrack/internal/protocol"
 )
 
-// store stands in for the state service, written from the protocol: versions,
+// Store stands in for the state service, written from the protocol: versions,
 // conditions, leases that an outage gives their full time again, watches.
-type store struct {
+type Store struct {
 	mu      sync.Mutex
 	ledger  uint64
 	keys    map[string]protocol.Item
@@ -35,11 +36,13 @@
 	timer *time.Timer
 }
 
-func newStore() *store {
-	return &store{keys: map[string]protocol.Item{}, holds: map[string]uint64{}, leases: map[uint64]*storeLease{}, changed: make(chan struct{})}
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{keys: map[string]protocol.Item{}, holds: map[string]uint64{}, leases: map[uint64]*storeLease{}, changed: make(chan struct{})}
 }
 
-func (s *store) outage(down bool) {
+// Outage begins or ends an outage, which gives all leases their full time again.
+func (s *Store) Outage(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down = down
@@ -51,7 +54,7 @@
 	}
 }
 
-func (s *store) commit(writes []protocol.Write) {
+func (s *Store) commit(writes []protocol.Write) {
 	s.ledger++
 	for _, w := range writes {
 		if w.Delete != "" {
@@ -69,7 +72,7 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) expire(id uint64) {
+func (s *Store) expire(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leases[id] == nil || s.down {
@@ -87,8 +90,8 @@
 	}
 }
 
-// serve answers one request.
-func (s *store) serve(ctx context.Context, method, path string, query map[string][]string, body []byte) (int, any) {
+// Serve answers one request.
+func (s *Store) Serve(ctx context.Context, method, path string, query map[string][]string, body []byte) (int, any) {
 	get := func(k string) string {
 		if v := query[k]; len(v) > 0 {
 			return v[0]
@@ -162,7 +165,7 @@
 	return 200, it
 }
 
-func (s *store) follow(ctx context.Context, under string, since uint64, wait time.Duration) (int, any) {
+func (s *Store) follow(ctx context.Context, under string, since uint64, wait time.Duration) (int, any) {
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
@@ -197,50 +200,18 @@
 	}
 }
 
-// wire is one controller's way to the store: it delays, loses and holds back.
-type wire struct {
-	s   *store
-	mu  sync.Mutex
-	rnd *rand.Rand
-	cut bool // the store refuses this controller alone
-	bad float64
+// ServeHTTP answers over HTTP.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	status, answer := s.Serve(r.Context(), r.Method, r.URL.Path, r.URL.Query(), body)
+	answerJSON(w, status, answer)
 }
 
-func (w *wire) RoundTrip(r *http.Request) (*http.Response, error) {
-	var body []byte
-	if r.Body != nil {
-		body, _ = io.ReadAll(r.Body)
-		r.Body.Close()
+func answerJSON(w http.ResponseWriter, status int, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	if status == 0 {
+		status = http.StatusServiceUnavailable
 	}
-	w.mu.Lock()
-	delay := time.Duration(1+w.rnd.IntN(20)) * time.Millisecond
-	cut, fate, late := w.cut, w.rnd.Float64(), time.Duration(w.rnd.IntN(20000))*time.Millisecond
-	bad := w.bad
-	w.mu.Unlock()
-	time.Sleep(delay)
-	ctx := r.Context()
-	status, answer := 503, any(protocol.Failure{Error: "trouble"})
-	switch {
-	case cut && r.URL.Path == "/follow":
-		<-ctx.Done()
-		return nil, ctx.Err()
-	case cut:
-	case r.URL.Path == "/multi" && fate < bad:
-		// No answer; carried out now, later or never.
-		if fate < bad*2/3 {
-			if fate < bad/3 {
-				late = 0
-			}
-			time.AfterFunc(late, func() { w.s.serve(context.Background(), r.Method, r.URL.Path, r.URL.Query(), body) })
-		}
-		<-ctx.Done()
-		return nil, ctx.Err()
-	default:
-		status, answer = w.s.serve(ctx, r.Method, r.URL.Path, r.URL.Query(), body)
-	}
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
-	}
-	raw, _ := json.Marshal(answer)
-	return &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(raw)), Header: http.Header{}, Request: r}, nil
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(answer)
 }
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,144 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"reedtrack/internal/protocol"
+)
+
+// service answers with what it is set to.
+type service struct {
+	status int
+	entered,
+	leave chan struct{}
+	up bool
+}
+
+func (s *service) Submit(context.Context, []byte) (int, any) {
+	if s.entered != nil {
+		s.entered <- struct{}{}
+		<-s.leave
+	}
+	return s.status, protocol.Failure{Error: "x"}
+}
+func (s *service) Poll(context.Context, string) (int, any)     { return s.status, nil }
+func (s *service) Withdraw(context.Context, string) (int, any) { return s.status, nil }
+func (s *service) Checkin([]byte) (int, any)                   { return 200, protocol.Orders{Baton: 7} }
+func (s *service) Up() bool                                    { return s.up }
+
+func ask(h http.Handler, method, path, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return w
+}
+
+// A refusal for now says when to come back; reports and health checks get
+// through when users have taken all slots.
+func TestServer(t *testing.T) {
+	s := &service{status: 503, entered: make(chan struct{}), leave: make(chan struct{})}
+	h := NewServer(s, 1).Handler
+	first := make(chan *httptest.ResponseRecorder)
+	go func() { first <- ask(h, "POST", "/v1/jobs", "{}") }()
+	<-s.entered
+	if w := ask(h, "GET", "/v1/jobs/wk-1", ""); w.Code != 429 || w.Header().Get("Retry-After") == "" {
+		t.Errorf("over the bound: %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+	}
+	if w := ask(h, "POST", "/checkin", "{}"); w.Code != 200 || !strings.Contains(w.Body.String(), `"baton":7`) {
+		t.Errorf("report: %d %s", w.Code, w.Body)
+	}
+	if w := ask(h, "GET", "/up", ""); w.Code != 503 {
+		t.Errorf("not up, but %d", w.Code)
+	}
+	close(s.leave)
+	if w := <-first; w.Code != 503 || w.Header().Get("Retry-After") == "" {
+		t.Errorf("refused: %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+	}
+	if w := ask(h, "POST", "/v1/jobs", strings.Repeat("x", protocol.MaxBody+1)); w.Code != 400 {
+		t.Errorf("long body: %d", w.Code)
+	}
+	if w := ask(h, "GET", "/elsewhere", ""); w.Code != 404 {
+		t.Errorf("unknown path: %d", w.Code)
+	}
+}
+
+type rounds func(*http.Request) (*http.Response, error)
+
+func (f rounds) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// The user's client repeats what was not answered for good, waits as it is
+// told, changes the controller and gives up after a minute.
+func TestUserRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var hosts []string
+		begin := time.Now()
+		u := NewUser([]string{"one", "two"})
+		u.HTTP.Transport = rounds(func(r *http.Request) (*http.Response, error) {
+			hosts = append(hosts, r.URL.Host)
+			resp := &http.Response{StatusCode: 503, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("{}"))}
+			switch len(hosts) {
+			case 1:
+				resp.Header.Set("Retry-After", "7")
+			case 2:
+				return nil, errors.New("refused")
+			case 3:
+				resp.StatusCode = 201
+			}
+			return resp, nil
+		})
+		if _, err := u.Ask(t.Context(), "POST", "/v1/jobs", nil); err != nil {
+			t.Error(err)
+		}
+		if got := time.Since(begin); got != 8*time.Second || strings.Join(hosts, " ") != "one two one" {
+			t.Errorf("took %v over %v", got, hosts)
+		}
+		begin = time.Now()
+		if _, err := u.Ask(t.Context(), "POST", "/v1/jobs", nil); !errors.Is(err, ErrGaveUp) || time.Since(begin) > time.Minute {
+			t.Errorf("%v after %v", err, time.Since(begin))
+		}
+	})
+}
+
+// A listener at its bound closes new connections and takes some again later.
+func TestLimitListener(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lim := LimitListener(ln, 1)
+	defer lim.Close()
+	got := make(chan net.Conn)
+	go func() {
+		for {
+			c, err := lim.Accept()
+			if err != nil {
+				return
+			}
+			got <- c
+		}
+	}()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	dial()
+	c := <-got
+	if _, err := dial().Read(make([]byte, 1)); err == nil {
+		t.Error("a connection over the bound was kept")
+	}
+	c.Close()
+	c.Close()
+	dial()
+	<-got
+}
--- a/internal/transport/user.go
+++ b/internal/transport/user.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"reedtrack/internal/protocol"
 )
 
 // User asks controllers on a user's behalf. It repeats a request that was not
@@ -36,6 +39,10 @@
 }
 
 func (e *Refused) Error() string {
+	var f protocol.Failure
+	if json.Unmarshal(e.Body, &f) == nil && f.Error != "" {
+		return "refused: " + f.Error
+	}
 	return fmt.Sprintf("refused with status %d: %s", e.Code, strings.TrimSpace(string(e.Body)))
 }
 
