--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -327,32 +327,8 @@
 	slog.Info("emptying a machine", "machine", best.block.Machine, "tasks", len(best.runs))
 	best.vacate = true
 	for _, r := range best.runs {
-		if s.savable(r, best, p, now) {
-			r.halt, r.mercy = true, r.job.spec.SaveTake
-		}
-	}
-}
-
-// savable tells whether moving a task that can save itself gains anything: a
-// task stopped within half a minute of its start does not count as started,
-// and one about to end is not worth the move.
-func (s *shard) savable(r *run, m *machine, p *planner, now time.Time) bool {
-	j := r.job
-	ran := now.Sub(r.began)
-	if j.spec.SaveS <= 0 || j.spec.Shape != "array" || r.halt || r.status != protocol.Running || ran < 30*time.Second {
-		return false
+		r.halt, r.mercy = true, r.job.spec.SaveTake
 	}
-	cost := j.spec.SaveTake + p.report.Seconds() + p.fetch(m.block.Breed, j.spec.ImageGB)
-	return j.spec.GuessS-ran.Seconds() >= 2*cost
-}
-
-// dear tells whether a machine costs more than others of its type may: those
-// are emptied even of tasks that can't save themselves, which end in place.
-func (p *planner) dear(k kind) bool {
-	spot := k
-	spot.Spot = true
-	low := p.price(spot)
-	return !k.Spot && low > 0 && low < p.price(k)
 }
 
 // movable tells whether all that a machine runs may go on elsewhere, on
@@ -361,9 +337,14 @@
 	room := map[*machine]placement.Vector{}
 	for _, r := range m.runs {
 		j := r.job
-		if !j.spec.Standing() && p.dear(m.kind()) {
-			// It ends in place; room for one like it is enough.
-		} else if !s.savable(r, m, p, now) {
+		ran := now.Sub(r.began)
+		// A task stopped within half a minute of its start does not count as
+		// started; one about to end is not worth the move.
+		if j.spec.SaveS <= 0 || j.spec.Shape != "array" || r.halt || r.status != protocol.Running || ran < 30*time.Second {
+			return false
+		}
+		cost := j.spec.SaveTake + p.report.Seconds() + p.fetch(m.block.Breed, j.spec.ImageGB)
+		if j.spec.GuessS-ran.Seconds() < 2*cost {
 			return false
 		}
 		i := p.params.Best(len(machines), func(i int) (placement.Vector, placement.Vector, bool) {
