--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -307,56 +307,49 @@
 		}
 		return
 	}
-	// Room that is spoken for by what is on its way from machines being
-	// emptied already.
-	room := map[*machine]placement.Vector{}
 	for _, m := range machines {
-		if m.vacate {
-			s.movable(m, machines, room, p, now, func(*run) bool { return true })
+		if m.vacate && len(m.runs) > 0 {
+			return // one at a time
 		}
 	}
-	dearest := slices.Clone(machines)
-	slices.SortStableFunc(dearest, func(a, b *machine) int {
-		return cmp.Or(-cmp.Compare(p.price(a.kind()), p.price(b.kind())), len(a.runs)-len(b.runs))
-	})
-	for _, m := range dearest {
-		if !m.usable() || m.vacate || len(m.runs) == 0 || !s.movable(m, machines, room, p, now, func(r *run) bool { return p.savable(r, now) }) {
+	var best *machine
+	for _, m := range machines {
+		if !m.usable() || m.vacate || len(m.runs) == 0 || !s.movable(m, machines, p, now) {
 			continue
 		}
-		slog.Info("emptying a machine", "machine", m.block.Machine, "tasks", len(m.runs))
-		m.vacate = true
-		for _, r := range m.runs {
-			r.halt, r.mercy = true, r.job.spec.SaveTake
+		if best == nil || p.price(m.kind()) > p.price(best.kind()) {
+			best = m
 		}
 	}
-}
-
-// savable tells whether moving a task gains anything: one stopped within half
-// a minute of its start does not count as started, and one about to end is not
-// worth the move.
-func (p *planner) savable(r *run, now time.Time) bool {
-	j := r.job
-	ran := now.Sub(r.began)
-	if j.spec.SaveS <= 0 || j.spec.Shape != "array" || r.halt || r.status != protocol.Running || ran < 30*time.Second {
-		return false
+	if best == nil {
+		return
+	}
+	slog.Info("emptying a machine", "machine", best.block.Machine, "tasks", len(best.runs))
+	best.vacate = true
+	for _, r := range best.runs {
+		r.halt, r.mercy = true, r.job.spec.SaveTake
 	}
-	cost := j.spec.SaveTake + p.report.Seconds() + p.fetch(r.m.block.Breed, j.spec.ImageGB)
-	return j.spec.GuessS-ran.Seconds() >= 2*cost
 }
 
 // movable tells whether all that a machine runs may go on elsewhere, on
-// machines that are no dearer and are in use anyway, and notes in room what it
-// would take there.
-func (s *shard) movable(m *machine, machines []*machine, room map[*machine]placement.Vector, p *planner, now time.Time, may func(*run) bool) bool {
-	taken := map[*machine]placement.Vector{}
+// machines that are no dearer and are in use anyway, and gains by it.
+func (s *shard) movable(m *machine, machines []*machine, p *planner, now time.Time) bool {
+	room := map[*machine]placement.Vector{}
 	for _, r := range m.runs {
 		j := r.job
-		if !may(r) {
+		ran := now.Sub(r.began)
+		// A task stopped within half a minute of its start does not count as
+		// started; one about to end is not worth the move.
+		if j.spec.SaveS <= 0 || j.spec.Shape != "array" || r.halt || r.status != protocol.Running || ran < 30*time.Second {
+			return false
+		}
+		cost := j.spec.SaveTake + p.report.Seconds() + p.fetch(m.block.Breed, j.spec.ImageGB)
+		if j.spec.GuessS-ran.Seconds() < 2*cost {
 			return false
 		}
 		i := p.params.Best(len(machines), func(i int) (placement.Vector, placement.Vector, bool) {
 			o := machines[i]
-			free := o.free().Sub(room[o]).Sub(taken[o])
+			free := o.free().Sub(room[o])
 			ok := o != m && o.usable() && !o.vacate && len(o.runs) > 0 && p.price(o.kind()) <= p.price(m.kind()) &&
 				free.Fits(j.need) && j.allows(o.block.Breed, o.block.Zone, o.block.Spot) && j.zoneOK(o.block.Zone)
 			return free.Sub(j.need), o.size, ok
@@ -364,10 +357,7 @@
 		if i < 0 {
 			return false
 		}
-		taken[machines[i]] = taken[machines[i]].Add(j.need)
-	}
-	for o, v := range taken {
-		room[o] = room[o].Add(v)
+		room[machines[i]] = room[machines[i]].Add(j.need)
 	}
 	return true
 }
