--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -209,7 +209,7 @@
 	}
 	s.drain(machines, p, now)
 	left = s.preempt(left, machines, p, now)
-	s.wantMachines(left, p, now)
+	s.wantMachines(left, p)
 	s.consolidate(left, machines, p, now)
 	for _, m := range machines {
 		if len(m.runs) > 0 {
@@ -507,7 +507,7 @@
 // wantMachines works out which machines to rent for tasks that fit nowhere:
 // first those already on their way are filled, then the best-scoring type is
 // added for each task that is left.
-func (s *shard) wantMachines(left []unfit, p *planner, now time.Time) {
+func (s *shard) wantMachines(left []unfit, p *planner) {
 	type bin struct {
 		k          kind
 		free, size placement.Vector
@@ -537,7 +537,7 @@
 				return b.free.Sub(j.need), b.size, ok
 			})
 			if i < 0 {
-				k, ok := s.bestKind(j, kinds, p, size, now)
+				k, ok := s.bestKind(j, kinds, p, size)
 				if !ok {
 					break
 				}
@@ -562,17 +562,6 @@
 	})
 }
 
-// patient tells whether a job waits for spot machines when there are none to be
-// had, rather than have ordinary ones rented at several times the price: work
-// beyond its team's guarantee does, up to half the time it has.
-func (p *planner) patient(j *job, now time.Time) bool {
-	if j.within || j.spec.Level() == protocol.Prod {
-		return false
-	}
-	waited := now.Sub(j.at).Seconds()
-	return waited < (waited+p.due(j, now))/2
-}
-
 // kinds lists the machines on which a job's tasks may run, in catalog order.
 func (j *job) kinds(p *planner) []kind {
 	var out []kind
@@ -591,10 +580,9 @@
 	return out
 }
 
-// bestKind picks what to rent: spot machines where any can be had, ordinary
-// ones for work that can't or need not wait for those; and among them the
-// best-scoring type, in the zone with the fewest of ours.
-func (s *shard) bestKind(j *job, kinds []kind, p *planner, size map[string]placement.Vector, now time.Time) (kind, bool) {
+// bestKind picks what to rent: spot machines where any can be had, and among
+// those the best-scoring type, in the zone with the fewest of ours.
+func (s *shard) bestKind(j *job, kinds []kind, p *planner, size map[string]placement.Vector) (kind, bool) {
 	var can []kind
 	for _, spot := range []bool{true, false} {
 		for _, k := range kinds {
@@ -602,7 +590,7 @@
 				can = append(can, k)
 			}
 		}
-		if len(can) > 0 || spot && j.spec.Spot && p.patient(j, now) {
+		if len(can) > 0 {
 			break
 		}
 	}
