Close four gaps found while writing the safety arguments

A lowered share could rise again before its write was known; a session's key could be written late under another session's name; tasks of an unreadable job were halted; a machine's first listing was dated by the request. Each has a guard and, but the last, a test.

--- a/internal/coordination/checkin.go
+++ b/internal/coordination/checkin.go
@@ -41,6 +41,7 @@
 	}
 	clear(m.stray)
 	clear(m.cleared)
+	m.odd = false
 	listed := make(map[taskKey]bool, len(r.Tasks))
 	for _, t := range r.Tasks {
 		id, num, _ := protocol.SplitTask(t.Task)
@@ -116,6 +117,10 @@
 // predecessor's, or one that should not be there.
 func (s *shard) foreign(m *machine, k taskKey, t protocol.TaskReport, now time.Time) {
 	j := s.jobs[k.job]
+	if s.unread[k.job] {
+		m.odd = true
+		return
+	}
 	if t.Status == protocol.Ended {
 		if j != nil && !j.spec.Standing() && t.Cause == protocol.CauseDone && k.task < j.spec.Tasks {
 			j.done.Add(k.task)
--- /dev/null
+++ b/internal/coordination/guards_test.go
@@ -0,0 +1,127 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"reedtrack/internal/placement"
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+type tripper func(*http.Request) (*http.Response, error)
+
+func (f tripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func size4(string) (placement.Vector, bool) { return placement.Vector{4, 0, 16}, true }
+
+// A share once lowered stays low until a newer record says otherwise: the write
+// that lowers it may be applied long after it was given up.
+func TestLoweredShareStays(t *testing.T) {
+	w := newWorld(1, nil)
+	st := storage.NewClientOver(tripper(func(*http.Request) (*http.Response, error) { return nil, errors.New("lost") }), 1000, 1000, 1)
+	n := New(w.set, w.set.Defaults(), st, nil, nil, nil)
+	rec := storage.Grant{Shares: map[string]storage.Amount{"red": {Cores: 14}}}
+	n.grantRecs[0] = entry[storage.Grant]{rec, 5}
+	s := newShard(0, storage.Shard{Term: 1}, 1, time.Now())
+	s.setGrant(rec, size4, time.Now())
+	n.shards[0] = s
+	n.others["n1"] = &Status{Shards: []ShardStatus{{Index: 1, Wanted: map[string]storage.Amount{"red": {Cores: 5}}}}}
+	n.writeGrants(context.Background())
+	if s.shares["red"].Cores != 0 {
+		t.Fatalf("kept %v, nothing is wanted", s.shares["red"])
+	}
+	s.wanted["red"] = storage.Amount{Cores: 4}
+	n.writeGrants(context.Background())
+	if s.shares["red"].Cores != 0 {
+		t.Errorf("share rose to %v without a newer record", s.shares["red"])
+	}
+	rec.Shares = map[string]storage.Amount{"red": {Cores: 4}}
+	s.setGrant(rec, size4, time.Now())
+	if s.shares["red"].Cores != 4 {
+		t.Errorf("newer record not taken: %v", s.shares["red"])
+	}
+}
+
+// After a take-over a task that was not reported is absent only once every
+// inherited machine has reported with the new term, or has been silent for
+// longer than its worker's lease.
+func TestUnsureUntilSettled(t *testing.T) {
+	now := time.Now()
+	s := newShard(0, storage.Shard{Term: 7}, 50, now)
+	s.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "a", Term: 3}, {Machine: "b", Term: 5}}}, size4, now)
+	j := &job{id: "wk-1", spec: protocol.Job{ID: "wk-1", Team: "red", Shape: "array", Tasks: 2}, stamp: 40, need: placement.Vector{1, 0, 1}}
+	s.addJob(j)
+	fresh := &job{id: "wk-2", spec: protocol.Job{ID: "wk-2", Team: "red", Shape: "array", Tasks: 1}, stamp: 60, need: placement.Vector{1, 0, 1}}
+	s.addJob(fresh)
+	if !j.unsure || fresh.unsure {
+		t.Fatal("only jobs older than the lease are unsure")
+	}
+	if u := s.unknown(); u.Cores != 8 {
+		t.Errorf("machines not heard of count %v", u)
+	}
+	a, b := s.machines["a"], s.machines["b"]
+	s.report(a, &protocol.Report{Machine: "a", Stint: 1, Tally: 1, Baton: 3}, now)
+	if a.settled || len(s.orders(a, now)) > 0 {
+		t.Error("settled by a report with the old term")
+	}
+	s.report(a, &protocol.Report{Machine: "a", Stint: 1, Tally: 2, Baton: 7, Tasks: []protocol.TaskReport{{Task: "wk-1/1", Try: 9, Status: protocol.Running}}}, now)
+	if !a.settled || !j.unsure || j.runs[1] == nil {
+		t.Error("one of two machines is settled, and its task is known")
+	}
+	s.silent(now.Add(9*time.Second), 10*time.Second)
+	if b.settled || !j.unsure {
+		t.Error("settled before the worker's lease was over")
+	}
+	a.answered = now.Add(5 * time.Second)
+	s.silent(now.Add(11*time.Second), 10*time.Second)
+	if !b.settled || j.unsure || j.waiting() != 1 {
+		t.Error("not settled after the worker's lease was over")
+	}
+}
+
+// The tasks of a job whose record can't be read are neither halted nor taken
+// for absent: their machine counts in full and gets nothing new.
+func TestUnreadableJobIsLeftAlone(t *testing.T) {
+	now := time.Now()
+	s := newShard(0, storage.Shard{Term: 1}, 1, now)
+	s.unread = map[string]bool{"wk-1": true}
+	s.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "a", Term: 2}}}, size4, now)
+	m := s.machines["a"]
+	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 1, Baton: 2, Tasks: []protocol.TaskReport{{Task: "wk-1/0", Try: 1, Status: protocol.Running}}}, now)
+	if o := s.orders(m, now); len(o) != 0 || m.usable() || s.unknown().Cores != 4 {
+		t.Errorf("orders %v, usable %v, counted %v", o, m.usable(), s.unknown())
+	}
+	s.giveBack(now.Add(time.Hour), func(kind) time.Duration { return 0 })
+	if m.release {
+		t.Error("given back")
+	}
+}
+
+// A start whose answer was lost is taken back once a later report lacks the
+// task, and goes out again under a higher try.
+func TestLostStart(t *testing.T) {
+	now := time.Now()
+	s := newShard(0, storage.Shard{Term: 1}, 1, now)
+	s.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "a", Term: 2}}}, size4, now)
+	m := s.machines["a"]
+	j := &job{id: "wk-1", spec: protocol.Job{ID: "wk-1", Team: "red", Shape: "array", Tasks: 1}, stamp: 9, need: placement.Vector{1, 0, 1}}
+	s.addJob(j)
+	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 1, Baton: 2}, now)
+	s.place(j, j.take(), m)
+	first := s.orders(m, now)
+	if len(first) != 1 || first[0].Verb != protocol.VerbStart || len(s.orders(m, now)) != 0 {
+		t.Fatalf("orders %v", first)
+	}
+	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 2, Baton: 2}, now)
+	if len(j.runs) != 0 || s.used["red"].Cores != 0 {
+		t.Fatal("the lost start still counts")
+	}
+	s.place(j, j.take(), m)
+	if again := s.orders(m, now); len(again) != 1 || again[0].Try <= first[0].Try {
+		t.Errorf("tries do not grow: %v then %v", first, again)
+	}
+}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -23,7 +23,7 @@
 // certain to be so.
 func (s *shard) giveBack(now time.Time, idle func(kind) time.Duration) {
 	for _, m := range s.machines {
-		if m.release || !m.settled || len(m.runs) > 0 || len(m.stray) > 0 {
+		if m.release || !m.settled || len(m.runs) > 0 || len(m.stray) > 0 || m.odd {
 			continue
 		}
 		if m.expired || m.bad || m.vacate || now.Sub(m.idle) > idle(m.kind()) {
@@ -65,13 +65,15 @@
 				lowered = lowered || keep != share
 				share = keep
 			}
-			next.Shares[t] = share
+			next.Shares[t] = least(share, s.shares[t])
 		}
 		if len(out) == 0 && !lowered {
 			continue
 		}
 		// Lower at once: what is being given back is not used any more,
-		// whether or not the answer arrives.
+		// whether or not the answer arrives. Nor does a later write raise
+		// it: the earlier one may still be applied, and the room be granted
+		// to another. Only a newer record does.
 		s.shares = next.Shares
 		s.writes = true
 		changes = append(changes, change{s, protocol.Txn{
@@ -88,6 +90,10 @@
 	}
 }
 
+func least(a, b storage.Amount) storage.Amount {
+	return storage.Amount{Cores: min(a.Cores, b.Cores), Cards: min(a.Cards, b.Cards)}
+}
+
 // keepShare is what a shard keeps of a team's limit while another shard is
 // short: what it uses or wants, the latter up to an equal part.
 func (n *Node) keepShare(s *shard, team string, share, unknown storage.Amount) storage.Amount {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -616,7 +616,7 @@
 		}
 		k.status = m.Status
 		if k.first.IsZero() {
-			k.first = sent
+			k.first = now
 		}
 	}
 	for id, k := range l.known {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -29,6 +29,11 @@
 	peers  map[string]Peer
 	direct Direct
 	now    func() time.Time
+	// opening is a session being opened; only the lease loop uses it.
+	opening struct {
+		hold uint64
+		sent time.Time
+	}
 
 	mu       sync.Mutex
 	kick     chan struct{}
@@ -41,6 +46,7 @@
 	shardRecs  map[int]entry[storage.Shard]
 	grantRecs  map[int]entry[storage.Grant]
 	jobs       map[string]*jobRec
+	unread     map[string]bool // live jobs whose record can't be read
 	term       entry[storage.Term]
 	leaderRec  entry[storage.Node]
 	catalog    []protocol.Breed
@@ -91,7 +97,7 @@
 	n := &Node{set: set, op: op, timing: set.Timing(op), state: state, cloud: cloud, peers: peers, direct: direct,
 		now: time.Now, kick: make(chan struct{}, 1),
 		aliveNodes: map[string]entry[storage.Node]{}, shardRecs: map[int]entry[storage.Shard]{},
-		grantRecs: map[int]entry[storage.Grant]{}, jobs: map[string]*jobRec{}, sizes: map[string]placement.Vector{},
+		grantRecs: map[int]entry[storage.Grant]{}, jobs: map[string]*jobRec{}, unread: map[string]bool{}, sizes: map[string]placement.Vector{},
 		teams: map[string]team{}, shards: map[int]*shard{}, others: map[string]*Status{},
 		ended: map[string]storage.End{}, refuse: map[kind]time.Time{}, gone: map[string]bool{}, bad: map[string]bool{}}
 	for _, t := range set.Deployment.Teams {
@@ -154,21 +160,32 @@
 	}
 }
 
+// openSession takes a lease and writes this controller's key under it. A write
+// without an answer is repeated under the same lease: it may still be applied,
+// and with another session's name it would look like the end of the new one.
 func (n *Node) openSession(ctx context.Context) error {
-	sent := n.now()
-	hold, err := n.state.Grant(ctx, n.timing.HolderLease)
-	if err != nil {
-		return err
+	if n.opening.hold == 0 {
+		sent := n.now()
+		hold, err := n.state.Grant(ctx, n.timing.HolderLease)
+		if err != nil {
+			return err
+		}
+		n.opening.hold, n.opening.sent = hold, sent
+	}
+	o := n.opening
+	me := storage.Node{Name: n.set.HostName, Session: o.hold}
+	_, err := n.state.Multi(ctx, protocol.Txn{Writes: []protocol.Write{{Put: storage.AliveKey(me.Name), Data: me, Hold: o.hold}}})
+	if errors.Is(err, storage.ErrNoLease) {
+		n.opening.hold = 0
 	}
-	me := storage.Node{Name: n.set.HostName, Session: hold}
-	_, err = n.state.Multi(ctx, protocol.Txn{Writes: []protocol.Write{{Put: storage.AliveKey(me.Name), Data: me, Hold: hold}}})
 	if err != nil {
 		return err
 	}
+	n.opening.hold = 0
 	n.mu.Lock()
-	n.session, n.validTil = hold, sent.Add(n.timing.Act)
+	n.session, n.validTil = o.hold, o.sent.Add(n.timing.Act)
 	n.mu.Unlock()
-	slog.Info("session opened", "session", hold)
+	slog.Info("session opened", "session", o.hold)
 	return nil
 }
 
@@ -203,7 +220,9 @@
 			n.grantChanged(i)
 		}
 	} else if id, ok := storage.CutJob(path); ok {
-		err = n.jobChanged(id, data, stamp)
+		if err = n.jobChanged(id, data, stamp); err != nil {
+			n.unread[id] = true
+		}
 	} else if path == storage.LeaderKey {
 		err = one(&n.leaderRec, data, stamp)
 	} else if path == storage.TermKey {
@@ -289,6 +308,7 @@
 		return
 	}
 	s := newShard(i, rec.v, rec.stamp, n.now())
+	s.unread = n.unread
 	s.setGrant(g.v, n.size, n.now())
 	for _, jr := range n.jobs {
 		if jr.rec.Shard == i {
@@ -310,6 +330,7 @@
 }
 
 func (n *Node) jobChanged(id string, data []byte, stamp uint64) error {
+	delete(n.unread, id)
 	if data == nil {
 		if jr := n.jobs[id]; jr != nil {
 			if s := n.shards[jr.rec.Shard]; s != nil {
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -112,6 +112,7 @@
 	takenAt  time.Time // when the cloud takes it away; zero: not known
 	errs     int
 	bad      bool // to be replaced
+	odd      bool // runs tasks of a job whose record can't be read
 	vacate   bool // being emptied, to be given back
 	release  bool // being given back; sticky until the grant lacks it
 	idle     time.Time
@@ -124,7 +125,7 @@
 
 // usable tells whether new tasks may be placed on the machine.
 func (m *machine) usable() bool {
-	return m.settled && m.heard && !m.expired && !m.bad && !m.release && m.takenAt.IsZero() && len(m.stray) == 0
+	return m.settled && m.heard && !m.expired && !m.bad && !m.release && m.takenAt.IsZero() && len(m.stray) == 0 && !m.odd
 }
 
 // shard is a unit of jobs, blocks and quota shares held by this controller.
@@ -147,6 +148,8 @@
 	wanted map[string]storage.Amount
 	fits   []kind
 	writes bool // a grant write is under way
+	// unread jobs have a record that can't be read: they are left alone.
+	unread map[string]bool
 }
 
 // kind is a type of machine, in a zone, spot or ordinary.
@@ -214,7 +217,7 @@
 	}
 	// A record older than the lease may belong to tasks that the former
 	// holder started.
-	j.unsure = j.stamp <= s.stamp
+	j.unsure = j.stamp <= s.stamp && !s.settled
 	j.runs = map[int]*run{}
 	s.jobs[j.id] = j
 }
@@ -286,7 +289,7 @@
 func (s *shard) unknown() storage.Amount {
 	var a storage.Amount
 	for _, m := range s.machines {
-		if !m.settled || len(m.stray) > 0 {
+		if !m.settled || m.odd || len(m.stray) > 0 {
 			a.Cores += max(0, m.size[0]-m.used[0])
 			a.Cards += max(0, m.size[1]-m.used[1])
 		}
