--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -17,6 +17,9 @@
 	"reedtrack/internal/storage"
 )
 
+// cloudErrors bounds the log in an outage of the cloud.
+var cloudErrors = rate.Sometimes{First: 5, Interval: 10 * time.Second}
+
 // leader is what the leading controller knows beyond the records. A new one
 // starts empty and rebuilds it from reports, statuses and the cloud's list.
 type leader struct {
@@ -487,7 +490,7 @@
 func (n *Node) readCatalog(ctx context.Context) {
 	c, err := n.cloud.Catalog(ctx)
 	if err != nil {
-		slog.Info("catalog not read", "err", err)
+		cloudErrors.Do(func() { slog.Warn("catalog not read", "err", err) })
 		n.mu.Lock()
 		if n.lead != nil {
 			n.lead.caught = n.now().Add(2*time.Second - time.Minute)
@@ -522,7 +525,7 @@
 		defer n.mu.Unlock()
 		now := n.now()
 		if err != nil && !errors.Is(err, ErrNoCapacity) {
-			slog.Info("rental not answered", "ask", r.Ask, "err", err)
+			cloudErrors.Do(func() { slog.Warn("rental not answered", "ask", r.Ask, "err", err) })
 			time.AfterFunc(time.Second, func() {
 				n.mu.Lock()
 				for _, x := range batch {
@@ -584,7 +587,7 @@
 	for {
 		page, err := n.cloud.List(ctx, since)
 		if err != nil {
-			slog.Info("machine list not read", "err", err)
+			cloudErrors.Do(func() { slog.Warn("machine list not read", "err", err) })
 			sleep(ctx, time.Second)
 			return
 		}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -41,6 +41,7 @@
 	validTil time.Time // this controller may act until then
 	synced   time.Time // everything changed before then is in the copies below
 	loaded   bool
+	acted    bool // as last logged
 
 	aliveNodes map[string]entry[storage.Node]
 	shardRecs  map[int]entry[storage.Shard]
@@ -388,7 +389,16 @@
 func (n *Node) tick(ctx context.Context) {
 	now := n.now()
 	n.mu.Lock()
-	if !n.valid(now) {
+	acts := n.valid(now)
+	if acts != n.acted {
+		n.acted = acts
+		if acts {
+			slog.Info("acting", "shards", len(n.shards))
+		} else {
+			slog.Warn("not acting: no lease, or no word from the state service", "shards", len(n.shards))
+		}
+	}
+	if !acts {
 		n.mu.Unlock()
 		return
 	}
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -5,6 +5,9 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"reedtrack/internal/protocol"
 )
@@ -12,6 +15,9 @@
 // Service answers HTTP requests for a controller.
 type Service struct{ Node *Node }
 
+// refusals bounds how much of the log users can fill with what is refused.
+var refusals = rate.Sometimes{First: 20, Interval: time.Second}
+
 func refuse(err error) (int, any) {
 	var bad *protocol.BadField
 	var never *ErrNever
@@ -28,12 +34,12 @@
 func (s Service) Submit(ctx context.Context, body []byte) (int, any) {
 	j, err := protocol.ParseJob(body)
 	if err != nil {
-		slog.Info("submission refused", "err", err)
+		refusals.Do(func() { slog.Info("submission refused", "err", err) })
 		return refuse(err)
 	}
 	st, known, err := s.Node.Submit(ctx, j)
 	if err != nil {
-		slog.Info("submission refused", "job", j.ID, "err", err)
+		refusals.Do(func() { slog.Info("submission refused", "job", j.ID, "err", err) })
 		return refuse(err)
 	}
 	if known {
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"log/slog"
 	"time"
 
 	"reedtrack/internal/placement"
@@ -319,6 +320,7 @@
 func (s *shard) silent(now time.Time, gone time.Duration) {
 	for _, m := range s.machines {
 		if !m.expired && now.Sub(m.answered) > gone {
+			slog.Warn("machine is silent, its tasks are taken for lost", "machine", m.block.Machine, "tasks", len(m.runs))
 			s.lost(m)
 		}
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -67,7 +67,7 @@
 		}
 		return st, true, err
 	}
-	slog.Info("submission not written", "job", j.ID, "err", err)
+	refusals.Do(func() { slog.Info("submission not written", "job", j.ID, "err", err) })
 	return st, false, ErrUnsure
 }
 
