Let a new leader find granted machines that are gone

A block now carries the time of its grant, and a list that must be newer and lacks it says that it is gone.

--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -125,3 +125,29 @@
 		t.Errorf("tries do not grow: %v then %v", first, again)
 	}
 }
+
+// A new leader takes a granted machine for gone once a list lacks it that must
+// be newer than the grant; before that, and when it is listed, it does not.
+func TestNewLeaderFindsGoneMachines(t *testing.T) {
+	w := newWorld(1, nil)
+	n := New(w.set, w.set.Defaults(), nil, emptyList{}, nil, nil)
+	sent := time.Now()
+	lag := time.Duration(2 * w.set.Deployment.Cloud.ListLagS * float64(time.Second))
+	n.grantRecs[0] = entry[storage.Grant]{storage.Grant{Blocks: []storage.Block{
+		{Machine: "old", AtMS: sent.Add(-lag - 2*time.Second).UnixMilli()},
+		{Machine: "new", AtMS: sent.Add(-lag).UnixMilli()},
+		{Machine: "listed", AtMS: sent.Add(-time.Hour).UnixMilli()}}}, 1}
+	l := newLeader(1, sent)
+	n.listCall(context.Background(), l, sent)
+	var r Reply
+	l.answer(n, &Status{}, &r, sent)
+	if len(r.Gone) != 1 || r.Gone[0] != "old" {
+		t.Errorf("gone: %v", r.Gone)
+	}
+}
+
+type emptyList struct{ Cloud }
+
+func (emptyList) List(context.Context, string) (protocol.MachineList, error) {
+	return protocol.MachineList{Machines: []protocol.ListedMachine{{ID: "listed", Status: "running"}}}, nil
+}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -389,7 +389,7 @@
 		}
 		given[to]++
 		g := n.editGrant(grants, to)
-		g.Blocks = append(g.Blocks, storage.Block{Machine: id, Breed: k.kind.Breed, Zone: k.kind.Zone, Spot: k.kind.Spot, Term: term})
+		g.Blocks = append(g.Blocks, storage.Block{Machine: id, Breed: k.kind.Breed, Zone: k.kind.Zone, Spot: k.kind.Spot, Term: term, AtMS: now.UnixMilli()})
 		grants[to] = g
 		l.drop(func(e *expected) bool { return e.id == id })
 		what += fmt.Sprintf(" %s->%d", id, to)
@@ -622,6 +622,21 @@
 			k.first = now
 		}
 	}
+	// A block was up when it was granted: a list that describes a later time
+	// and lacks it says that it is gone. This spares a new leader, and with it
+	// a new holder, the wait for the worker's lease.
+	asked := sent.UnixMilli()
+	clocks := 2 * int64(n.set.Deployment.ClockErrorMS)
+	for _, g := range n.grantRecs {
+		for _, b := range g.v.Blocks {
+			if _, ok := seen[b.Machine]; ok || b.AtMS == 0 || asked-b.AtMS <= (2*lag+time.Second).Milliseconds()+clocks {
+				continue
+			}
+			if l.known[b.Machine] == nil {
+				l.known[b.Machine] = &rented{id: b.Machine, kind: kind{b.Breed, b.Zone, b.Spot}, asked: now, first: now.Add(-time.Hour), granted: true}
+			}
+		}
+	}
 	for id, k := range l.known {
 		_, ok := seen[id]
 		// A list may be up to twice the lag old: one asked for that much
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -75,6 +75,7 @@
 	Zone    string `json:"z"`
 	Spot    bool   `json:"s,omitempty"`
 	Term    uint64 `json:"t"`
+	AtMS    int64  `json:"at,omitempty"` // time of day of the grant
 }
 
 // Grant is what a shard has been given: its blocks and its shares of the
