--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -530,14 +530,11 @@
 				s.fits = append(s.fits, k)
 			}
 		}
-		// A machine is paid for a minute at least, in which one task after
-		// another may run in the same place.
-		part := j.need.Scale(min(1, j.spec.GuessS/leastPaid.Seconds()))
 		for range u.count {
 			i := p.params.Best(len(bins), func(i int) (placement.Vector, placement.Vector, bool) {
 				b := bins[i]
-				ok := b.size.Fits(j.need) && b.free.Fits(part) && j.allows(b.k.Breed, b.k.Zone, b.k.Spot)
-				return b.free.Sub(part), b.size, ok
+				ok := b.free.Fits(j.need) && j.allows(b.k.Breed, b.k.Zone, b.k.Spot)
+				return b.free.Sub(j.need), b.size, ok
 			})
 			if i < 0 {
 				k, ok := s.bestKind(j, kinds, p, size)
@@ -547,7 +544,7 @@
 				bins = append(bins, &bin{k, size[k.Breed], size[k.Breed], true})
 				i = len(bins) - 1
 			}
-			bins[i].free = bins[i].free.Sub(part)
+			bins[i].free = bins[i].free.Sub(j.need)
 		}
 	}
 	count := map[kind]int{}
@@ -565,9 +562,6 @@
 	})
 }
 
-// leastPaid is what the cloud charges for at least, by its protocol.
-const leastPaid = time.Minute
-
 // kinds lists the machines on which a job's tasks may run, in catalog order.
 func (j *job) kinds(p *planner) []kind {
 	var out []kind
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -29,9 +29,6 @@
 	return Vector{v[0] - w[0], v[1] - w[1], v[2] - w[2]}
 }
 
-// Scale returns v times f.
-func (v Vector) Scale(f float64) Vector { return Vector{v[0] * f, v[1] * f, v[2] * f} }
-
 // Params are the parameters of UCfit.
 type Params struct{ A, B, C float64 }
 
