Place tasks in the answer to the report that frees room

Cause: a place that came free waited for a plan and then for the machine's next report, about 2 s of a task of 20 to 50 s. Placement now runs before the answer is made up, so starts travel with it.

--- a/internal/coordination/checkin.go
+++ b/internal/coordination/checkin.go
@@ -29,6 +29,7 @@
 		return false
 	}
 	m.stint, m.tally, m.address = r.Stint, r.Tally, r.Address
+	s.freed = s.freed || !m.heard || m.expired
 	m.heard, m.expired = true, false
 	if r.Baton >= s.baton(m) {
 		m.settled = true
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -259,6 +259,11 @@
 			if m == nil || m.release || !s.report(m, r, now) {
 				return 503, orders, ""
 			}
+			if s.freed {
+				// Place at once, so that starts travel with this very answer
+				// and room that came free does not wait for another report.
+				s.placeWaiting(s.sorted(), n.planner(now), now)
+			}
 			n.wake()
 			// The time again: reading the report may have taken a while.
 			now = n.now()
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -176,9 +176,30 @@
 
 // plan places waiting tasks, picks victims and works out what to rent.
 func (s *shard) plan(p *planner, now time.Time) {
-	machines := slices.SortedFunc(maps.Values(s.machines), func(a, b *machine) int {
+	machines := s.sorted()
+	left := s.placeWaiting(machines, p, now)
+	s.drain(machines, p, now)
+	left = s.preempt(left, machines, p, now)
+	s.wantMachines(left, p)
+	s.consolidate(left, machines, p, now)
+	for _, m := range machines {
+		if len(m.runs) > 0 {
+			m.idle = now
+		}
+	}
+}
+
+// sorted lists the shard's machines by name, so that a plan does not depend on
+// the order of a map.
+func (s *shard) sorted() []*machine {
+	return slices.SortedFunc(maps.Values(s.machines), func(a, b *machine) int {
 		return cmp.Compare(a.block.Machine, b.block.Machine)
 	})
+}
+
+// placeWaiting places what fits, and returns what does not though its team's
+// share would allow it.
+func (s *shard) placeWaiting(machines []*machine, p *planner, now time.Time) []unfit {
 	unknown := s.unknown()
 	clear(s.wanted)
 	for name, u := range s.used {
@@ -202,20 +223,12 @@
 				placed = nil
 			}
 		}
-		n -= len(placed)
-		if n > 0 {
+		if n -= len(placed); n > 0 {
 			left = append(left, unfit{j, n})
 		}
 	}
-	s.drain(machines, p, now)
-	left = s.preempt(left, machines, p, now)
-	s.wantMachines(left, p)
-	s.consolidate(left, machines, p, now)
-	for _, m := range machines {
-		if len(m.runs) > 0 {
-			m.idle = now
-		}
-	}
+	s.freed = false
+	return left
 }
 
 // join makes one try of a gang's runs, or takes them back if some found no
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -149,6 +149,7 @@
 	wanted map[string]storage.Amount
 	fits   []kind
 	writes bool // a grant write is under way
+	freed  bool // room has come free since tasks were last placed
 	// unread jobs have a record that can't be read: they are left alone.
 	unread map[string]bool
 }
@@ -265,6 +266,7 @@
 	if r.m.runs[r.key] != r {
 		return
 	}
+	s.freed = true
 	delete(r.m.runs, r.key)
 	r.m.used = r.m.used.Sub(r.job.need)
 	if r.job.runs[r.key.task] == r {
