Rent ordinary machines only for urgent or guaranteed work that could wait

Now work that is neither urgent nor within a guarantee waits for those, if some machine of the shard can host it.

--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -593,6 +593,17 @@
 	return out
 }
 
+// hosts tells whether a job's tasks fit on some machine of the shard once it is
+// free, or on one that is on its way: then they can wait for it.
+func (s *shard) hosts(j *job) bool {
+	for _, m := range s.machines {
+		if m.usable() && m.size.Fits(j.need) && j.allows(m.block.Breed, m.block.Zone, m.block.Spot) {
+			return true
+		}
+	}
+	return len(s.coming) > 0
+}
+
 // bestKind picks what to rent: spot machines where any can be had, and among
 // those the best-scoring type, in the zone with the fewest of ours.
 func (s *shard) bestKind(j *job, kinds []kind, p *planner, size map[string]placement.Vector) (kind, bool) {
@@ -603,7 +614,7 @@
 				can = append(can, k)
 			}
 		}
-		if len(can) > 0 {
+		if len(can) > 0 || spot && j.spec.Spot && !j.within && j.spec.Level() < protocol.High && s.hosts(j) {
 			break
 		}
 	}
