Place nothing more on machines that run tasks twice as long

Cause: a machine slowed to a third keeps getting tasks, as its places look as good as others. It is found by comparing tasks with those of the same job elsewhere, and replaced when its tasks have ended.

--- a/internal/coordination/checkin.go
+++ b/internal/coordination/checkin.go
@@ -85,6 +85,10 @@
 		if !j.spec.Standing() {
 			j.done.Add(x.key.task)
 		}
+		if !x.began.IsZero() && !x.adopted {
+			j.counted++
+			j.took += now.Sub(x.began).Seconds()
+		}
 		m.errs = 0
 		clear(j.errOn)
 		j.backoff = 0
@@ -133,7 +137,7 @@
 		m.stray[k] = t.Try
 		return
 	}
-	x := &run{key: k, job: j, m: m, try: t.Try, sent: true, status: t.Status, began: now, sentAt: now}
+	x := &run{key: k, job: j, m: m, try: t.Try, sent: true, status: t.Status, began: now, adopted: true}
 	s.attach(x)
 }
 
@@ -152,7 +156,7 @@
 	if m.settled && !m.bad && !m.release {
 		for k, x := range m.runs {
 			if !x.sent && !x.halt && !x.job.ended {
-				x.sent, x.sentAt = true, now
+				x.sent = true
 				out = append(out, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Try: x.try})
 			}
 		}
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -151,3 +151,25 @@
 func (emptyList) List(context.Context, string) (protocol.MachineList, error) {
 	return protocol.MachineList{Machines: []protocol.ListedMachine{{ID: "listed", Status: "running"}}}, nil
 }
+
+// A machine on which tasks run more than twice as long as others of their job
+// did gets no more, and one slow task alone does not condemn a machine.
+func TestSlowMachine(t *testing.T) {
+	now := time.Now()
+	s := newShard(0, storage.Shard{Term: 1}, 1, now)
+	s.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "a", Term: 2}, {Machine: "b", Term: 2}}}, size4, now)
+	j := &job{id: "wk-1", spec: protocol.Job{ID: "wk-1", Team: "red", Shape: "array", Tasks: 9}, stamp: 9,
+		need: placement.Vector{1, 0, 1}, counted: 3, took: 30}
+	s.addJob(j)
+	for i, at := range []struct {
+		m   string
+		ran time.Duration
+	}{{"a", 25 * time.Second}, {"a", 23 * time.Second}, {"b", 25 * time.Second}, {"b", 9 * time.Second}, {"b", 9 * time.Second}} {
+		r := s.place(j, i, s.machines[at.m])
+		r.sent, r.status, r.began = true, protocol.Running, now.Add(-at.ran)
+	}
+	s.slowness(now)
+	if !s.machines["a"].slow || s.machines["b"].slow {
+		t.Errorf("a slow %v, b slow %v", s.machines["a"].slow, s.machines["b"].slow)
+	}
+}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -26,7 +26,7 @@
 		if m.release || !m.settled || len(m.runs) > 0 || len(m.stray) > 0 || m.odd {
 			continue
 		}
-		if m.expired || m.bad || m.vacate || now.Sub(m.idle) > idle(m.kind()) {
+		if m.expired || m.bad || m.slow || m.vacate || now.Sub(m.idle) > idle(m.kind()) {
 			m.release = true
 		}
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -414,10 +414,11 @@
 			}
 		}
 		s.silent(now, n.timing.WorkerGone)
+		s.slowness(now)
 		s.plan(p, now)
 		s.giveBack(now, n.idle)
 		for _, m := range s.machines {
-			if m.bad {
+			if m.bad || m.slow {
 				n.bad[m.block.Machine] = true
 			}
 			for _, r := range m.runs {
--- a/internal/coordination/overview.go
+++ b/internal/coordination/overview.go
@@ -72,6 +72,8 @@
 		v.State = "lost"
 	case m.bad:
 		v.State = "faulty"
+	case m.slow:
+		v.State = "slow"
 	case !m.takenAt.IsZero():
 		v.State = "to be taken"
 	case !m.heard || !m.settled:
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -25,8 +25,8 @@
 	status  string
 	sent    bool      // the start has gone out, or a report showed the task
 	began   time.Time // first seen running
-	sentAt  time.Time
-	halt    bool // wanted gone
+	adopted bool      // began before this controller looked on
+	halt    bool      // wanted gone
 	mercy   float64
 	haltOut time.Time
 }
@@ -56,6 +56,8 @@
 	ended bool
 	// within: the job fits into its team's guarantee.
 	within  bool
+	counted int     // tasks done while this controller looked on,
+	took    float64 // and the seconds they ran
 	errOn   map[string]bool
 	backoff time.Duration
 	notTill time.Time
@@ -113,6 +115,7 @@
 	takenAt  time.Time // when the cloud takes it away; zero: not known
 	errs     int
 	bad      bool // to be replaced
+	slow     bool // takes far longer than others for the same jobs
 	odd      bool // runs tasks of a job whose record can't be read
 	vacate   bool // being emptied, to be given back
 	release  bool // being given back; sticky until the grant lacks it
@@ -126,7 +129,7 @@
 
 // usable tells whether new tasks may be placed on the machine.
 func (m *machine) usable() bool {
-	return m.settled && m.heard && !m.expired && !m.bad && !m.release && m.takenAt.IsZero() && len(m.stray) == 0 && !m.odd
+	return m.settled && m.heard && !m.expired && !m.bad && !m.slow && !m.release && m.takenAt.IsZero() && len(m.stray) == 0 && !m.odd
 }
 
 // shard is a unit of jobs, blocks and quota shares held by this controller.
@@ -329,6 +332,25 @@
 	s.settle()
 }
 
+// slowness finds machines on which tasks run more than twice as long as those
+// of the same job took elsewhere. Tasks there are left to end, since starting
+// them anew would take as long; no more are placed.
+func (s *shard) slowness(now time.Time) {
+	for _, m := range s.machines {
+		late := 0
+		for _, r := range m.runs {
+			j := r.job
+			if j.counted >= 3 && r.status == protocol.Running && now.Sub(r.began).Seconds() > 2*j.took/float64(j.counted)+2 {
+				late++
+			}
+		}
+		if !m.slow && late >= 2 && 2*late >= len(m.runs) {
+			m.slow = true
+			slog.Warn("machine is slow, will be replaced", "machine", m.block.Machine, "late", late, "tasks", len(m.runs))
+		}
+	}
+}
+
 // lost accounts for a machine that has certainly dropped all its tasks.
 func (s *shard) lost(m *machine) {
 	m.expired, m.settled = true, true
