--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -481,7 +481,7 @@
 			n.mu.Unlock()
 		}
 	}
-	if now.Sub(l.listed) > max(lag/4, time.Second) {
+	if now.Sub(l.listed) > max(lag, time.Second) {
 		return func(ctx context.Context) { n.listCall(ctx, l, now) }
 	}
 	return nil
