--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -305,25 +305,11 @@
 				r.halt, r.mercy = true, save
 			} else if r.job.spec.SaveS > 0 && m.takenAt.Sub(now) < time.Duration((save+1)*float64(time.Second))+p.report*3/2 {
 				r.halt, r.mercy = true, save
-			} else if r.job.spec.SaveS == 0 && r.doomed(m.takenAt, now) {
-				// Its work is lost either way; elsewhere it begins sooner.
-				r.halt, r.mercy = true, 0
 			}
 		}
 	}
 }
 
-// doomed tells whether a task has hardly a chance to end before its machine is
-// taken: by its owner's guess, which may be wrong by half, it needs twice the
-// time that is left.
-func (r *run) doomed(taken, now time.Time) bool {
-	need := r.job.spec.GuessS
-	if !r.began.IsZero() {
-		need -= now.Sub(r.began).Seconds()
-	}
-	return need > 2*taken.Sub(now).Seconds()
-}
-
 // consolidate empties a machine, the dearest first, when nothing waits and all
 // that it runs can save itself and fits on others: as work runs out, machines
 // would otherwise be kept for one long task each.
