--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -59,6 +59,7 @@
 		Writes: []protocol.Write{{Put: storage.JobKey(j.ID), Data: rec}}})
 	switch {
 	case err == nil:
+		slog.Debug("accepted", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "cores", j.Cores, "shard", shard)
 		return protocol.JobStatus{ID: j.ID, Status: protocol.Pending}, false, nil
 	case errors.Is(err, storage.ErrConflict):
 		st, found, err := n.Poll(ctx, j.ID)
