--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -321,11 +321,10 @@
 		return
 	}
 	for _, m := range machines {
-		if m.vacate && len(m.runs) > 0 && !p.dear(m.kind()) {
+		if m.vacate && len(m.runs) > 0 {
 			return // one at a time
 		}
 	}
-	s.cordon(machines, p)
 	var best *machine
 	for _, m := range machines {
 		if !m.usable() || m.vacate || len(m.runs) == 0 || !s.movable(m, machines, p, now) {
@@ -345,36 +344,6 @@
 	}
 }
 
-// cordon keeps new tasks off the dearest ordinary machine while the machines
-// that are not has room for as much as it runs; its tasks end in place.
-func (s *shard) cordon(machines []*machine, p *planner) {
-	var spare placement.Vector
-	var best *machine
-	for _, m := range machines {
-		if !m.usable() || len(m.runs) == 0 {
-			continue
-		}
-		if !p.dear(m.kind()) {
-			spare = spare.Add(m.free())
-		} else if m.vacate {
-			return
-		} else if best == nil || p.price(m.kind()) > p.price(best.kind()) {
-			best = m
-		}
-	}
-	if best != nil && spare.Fits(best.used) {
-		slog.Info("no new tasks on a dear machine", "machine", best.block.Machine, "tasks", len(best.runs))
-		best.vacate = true
-	}
-}
-
-// dear tells whether a machine costs more than a spot one of its type.
-func (p *planner) dear(k kind) bool {
-	spot := k
-	spot.Spot = true
-	return !k.Spot && p.price(spot) < p.price(k)
-}
-
 // movable tells whether all that a machine runs may go on elsewhere, on
 // machines that are no dearer and are in use anyway, and gains by it.
 func (s *shard) movable(m *machine, machines []*machine, p *planner, now time.Time) bool {
