--- a/internal/coordination/checkin.go
+++ b/internal/coordination/checkin.go
@@ -29,7 +29,9 @@
 		return false
 	}
 	m.stint, m.tally, m.address = r.Stint, r.Tally, r.Address
-	s.freed = s.freed || !m.heard || m.expired
+	if s.freed = s.freed || !m.heard || m.expired; m.expired {
+		m.idle = now // back after its lease, and empty
+	}
 	m.heard, m.expired = true, false
 	if r.Baton >= s.baton(m) {
 		m.settled = true
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -95,7 +95,7 @@
 	if o := s.orders(m, now); len(o) != 0 || m.usable() || s.unknown().Cores != 4 {
 		t.Errorf("orders %v, usable %v, counted %v", o, m.usable(), s.unknown())
 	}
-	s.giveBack(now.Add(time.Hour), func(kind) time.Duration { return 0 })
+	s.giveBack(now.Add(time.Hour), 0, func(kind) time.Duration { return 0 })
 	if m.release {
 		t.Error("given back")
 	}
@@ -173,3 +173,29 @@
 		t.Errorf("a slow %v, b slow %v", s.machines["a"].slow, s.machines["b"].slow)
 	}
 }
+
+// A machine that was silent for longer than its lease and comes back, empty
+// under its next stint, is used again; one that stays away is given back.
+func TestSilentMachineMayComeBack(t *testing.T) {
+	now := time.Now()
+	never := func(kind) time.Duration { return time.Hour }
+	s := newShard(0, storage.Shard{Term: 1}, 1, now)
+	s.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "a", Term: 2}, {Machine: "b", Term: 2}}}, size4, now)
+	a, b := s.machines["a"], s.machines["b"]
+	for _, m := range []*machine{a, b} {
+		s.report(m, &protocol.Report{Machine: m.block.Machine, Stint: 1, Tally: 1, Baton: 2}, now)
+	}
+	now = now.Add(11 * time.Second)
+	s.silent(now, 10*time.Second)
+	s.giveBack(now, 10*time.Second, never)
+	if !a.expired || a.release || a.usable() {
+		t.Fatalf("expired %v, given back %v, usable %v", a.expired, a.release, a.usable())
+	}
+	s.report(a, &protocol.Report{Machine: "a", Stint: 2, Tally: 9, Baton: 2}, now)
+	a.answered = now
+	now = now.Add(10 * time.Second)
+	s.giveBack(now, 10*time.Second, never)
+	if a.release || !a.usable() || !b.release {
+		t.Errorf("a given back %v, usable %v; b given back %v", a.release, a.usable(), b.release)
+	}
+}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -20,13 +20,16 @@
 }
 
 // giveBack marks blocks that this shard has no more use for: empty, and
-// certain to be so.
-func (s *shard) giveBack(now time.Time, idle func(kind) time.Duration) {
+// certain to be so. A silent machine is kept for as long again as it took to be
+// certain of that: it may only have been cut off, and spares a boot if it
+// comes back.
+func (s *shard) giveBack(now time.Time, silent time.Duration, idle func(kind) time.Duration) {
 	for _, m := range s.machines {
 		if m.release || !m.settled || len(m.runs) > 0 || len(m.stray) > 0 || m.odd {
 			continue
 		}
-		if m.expired || m.bad || m.slow || m.vacate || now.Sub(m.idle) > idle(m.kind()) {
+		if m.gone || m.bad || m.slow || m.vacate || m.expired && now.Sub(m.answered) > 2*silent ||
+			!m.expired && now.Sub(m.idle) > idle(m.kind()) {
 			m.release = true
 		}
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -408,15 +408,16 @@
 	var halts []int
 	for i, s := range n.shards {
 		for id := range n.gone {
-			if m := s.machines[id]; m != nil && !m.expired {
+			if m := s.machines[id]; m != nil && !m.gone {
 				slog.Info("machine is gone", "machine", id)
 				s.lost(m)
+				m.gone = true
 			}
 		}
 		s.silent(now, n.timing.WorkerGone)
 		s.slowness(now)
 		s.plan(p, now)
-		s.giveBack(now, n.idle)
+		s.giveBack(now, n.timing.WorkerGone, n.idle)
 		for _, m := range s.machines {
 			if m.bad || m.slow {
 				n.bad[m.block.Machine] = true
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -112,6 +112,7 @@
 	heard    bool      // has reported to this holder
 	answered time.Time // last answer that may have renewed the worker's lease
 	expired  bool
+	gone     bool      // the cloud says so
 	takenAt  time.Time // when the cloud takes it away; zero: not known
 	errs     int
 	bad      bool // to be replaced
