Split plan, leader and node by what they own

No line of code is changed: each file now has one subject (queue, place, wanted, preempt, empty; grants, cloud; session, follow, tick; giveback, progress, dispatch).

--- /dev/null
+++ b/internal/coordination/giveback.go
@@ -0,0 +1,126 @@
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// giveBack marks blocks that this shard has no more use for: empty, and
+// certain to be so. A silent machine is kept for as long again as it took to be
+// certain of that: it may only have been cut off, and spares a boot if it
+// comes back.
+func (s *shard) giveBack(now time.Time, silent time.Duration, idle func(kind) time.Duration) {
+	for _, m := range s.machines {
+		if m.release || !m.settled || len(m.runs) > 0 || len(m.stray) > 0 || m.odd {
+			continue
+		}
+		if m.gone || m.bad || m.slow || m.vacate || m.expired && now.Sub(m.answered) > 2*silent ||
+			!m.expired && now.Sub(m.idle) > idle(m.kind()) {
+			m.release = true
+		}
+	}
+}
+
+// writeGrants writes the grants of this controller's shards without the blocks
+// and the shares that are given back.
+func (n *Node) writeGrants(ctx context.Context) {
+	type change struct {
+		s   *shard
+		txn protocol.Txn
+		out []string
+	}
+	var changes []change
+	n.mu.Lock()
+	for i, s := range n.shards {
+		short := n.shortTeams(i)
+		g, ok := n.grantRecs[i]
+		if !ok || s.writes {
+			continue
+		}
+		next := storage.Grant{Shares: map[string]storage.Amount{}}
+		var out []string
+		for _, b := range g.v.Blocks {
+			if m := s.machines[b.Machine]; m != nil && m.release {
+				out = append(out, b.Machine)
+			} else {
+				next.Blocks = append(next.Blocks, b)
+			}
+		}
+		lowered := false
+		unknown := s.unknown()
+		for t, share := range g.v.Shares {
+			if short[t] {
+				keep := n.keepShare(s, t, share, unknown)
+				lowered = lowered || keep != share
+				share = keep
+			}
+			next.Shares[t] = least(share, s.shares[t])
+		}
+		if len(out) == 0 && !lowered {
+			continue
+		}
+		// Lower at once: what is being given back is not used any more,
+		// whether or not the answer arrives. Nor does a later write raise
+		// it: the earlier one may still be applied, and the room be granted
+		// to another. Only a newer record does.
+		s.shares = next.Shares
+		s.writes = true
+		changes = append(changes, change{s, protocol.Txn{
+			When:   []protocol.Cond{{Path: storage.ShardKey(i), Stamp: s.stamp}, {Path: storage.GrantKey(i), Stamp: g.stamp}},
+			Writes: []protocol.Write{{Put: storage.GrantKey(i), Data: next}}}, out})
+	}
+	n.mu.Unlock()
+	for _, c := range changes {
+		_, err := n.state.Multi(ctx, c.txn)
+		n.mu.Lock()
+		c.s.writes = false
+		n.mu.Unlock()
+		slog.Info("gave back", "shard", c.s.index, "blocks", c.out, "err", err)
+	}
+}
+
+func least(a, b storage.Amount) storage.Amount {
+	return storage.Amount{Cores: min(a.Cores, b.Cores), Cards: min(a.Cards, b.Cards)}
+}
+
+// keepShare is what a shard keeps of a team's limit while another shard is
+// short: what it uses or wants, the latter up to an equal part.
+func (n *Node) keepShare(s *shard, team string, share, unknown storage.Amount) storage.Amount {
+	limit, used, want := n.teams[team].limit, s.used[team], s.wanted[team]
+	keep := func(share, used, unknown, want, limit float64) float64 {
+		return min(share, max(used+unknown, min(want, limit/float64(n.op.Shards))))
+	}
+	return storage.Amount{Cores: keep(share.Cores, used.Cores, unknown.Cores, want.Cores, limit.Cores),
+		Cards: keep(share.Cards, used.Cards, unknown.Cards, want.Cards, limit.Cards)}
+}
+
+// shortTeams lists the teams of which some shard other than one wants more
+// than its share. A shard that counted itself would give room back only to be
+// granted it anew, over and over.
+func (n *Node) shortTeams(but int) map[string]bool {
+	short := map[string]bool{}
+	look := func(i int, wanted map[string]storage.Amount) {
+		if i == but {
+			return
+		}
+		for t, w := range wanted {
+			lim, share := n.teams[t].limit, n.grantRecs[i].v.Shares[t]
+			if lim.Cores > 0 && w.Cores > share.Cores+1e-9 || lim.Cards > 0 && w.Cards > share.Cards+1e-9 {
+				short[t] = true
+			}
+		}
+	}
+	for i, s := range n.shards {
+		look(i, s.wanted)
+	}
+	for _, o := range n.others {
+		for _, s := range o.Shards {
+			look(s.Index, s.Wanted)
+		}
+	}
+	return short
+}
--- /dev/null
+++ b/internal/coordination/wanted.go
@@ -0,0 +1,132 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"reedtrack/internal/placement"
+	"reedtrack/internal/protocol"
+)
+
+// wantMachines works out which machines to rent for tasks that fit nowhere:
+// first those already on their way are filled, then the best-scoring type is
+// added for each task that is left.
+func (s *shard) wantMachines(left []unfit, p *planner) {
+	type bin struct {
+		k          kind
+		free, size placement.Vector
+		fresh      bool
+	}
+	size := map[string]placement.Vector{}
+	for _, b := range p.breeds {
+		size[b.Name] = sizeOf(b)
+	}
+	var bins []*bin
+	for _, k := range s.coming {
+		bins = append(bins, &bin{k, size[k.Breed], size[k.Breed], false})
+	}
+	s.fits = s.fits[:0]
+	for _, u := range left {
+		j := u.job
+		kinds := j.kinds(p)
+		for _, k := range kinds {
+			if !slices.Contains(s.fits, k) {
+				s.fits = append(s.fits, k)
+			}
+		}
+		for range u.count {
+			i := p.params.Best(len(bins), func(i int) (placement.Vector, placement.Vector, bool) {
+				b := bins[i]
+				ok := b.free.Fits(j.need) && j.allows(b.k.Breed, b.k.Zone, b.k.Spot)
+				return b.free.Sub(j.need), b.size, ok
+			})
+			if i < 0 {
+				k, ok := s.bestKind(j, kinds, p, size)
+				if !ok {
+					break
+				}
+				bins = append(bins, &bin{k, size[k.Breed], size[k.Breed], true})
+				i = len(bins) - 1
+			}
+			bins[i].free = bins[i].free.Sub(j.need)
+		}
+	}
+	count := map[kind]int{}
+	for _, b := range bins {
+		if b.fresh {
+			count[b.k]++
+		}
+	}
+	s.rent = s.rent[:0]
+	for k, n := range count {
+		s.rent = append(s.rent, rentWant{k, n})
+	}
+	slices.SortFunc(s.rent, func(a, b rentWant) int {
+		return cmp.Or(cmp.Compare(a.Kind.Breed, b.Kind.Breed), cmp.Compare(a.Kind.Zone, b.Kind.Zone))
+	})
+}
+
+// kinds lists the machines on which a job's tasks may run, in catalog order.
+func (j *job) kinds(p *planner) []kind {
+	var out []kind
+	for _, b := range p.breeds {
+		if !sizeOf(b).Fits(j.need) {
+			continue
+		}
+		for _, z := range b.Zones {
+			for _, spot := range []bool{true, false} {
+				if j.allows(b.Name, z, spot) {
+					out = append(out, kind{b.Name, z, spot})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// hosts tells whether a job's tasks fit on some machine of the shard once it is
+// free, or on one that is on its way: then they can wait for it.
+func (s *shard) hosts(j *job) bool {
+	for _, m := range s.machines {
+		if m.usable() && m.size.Fits(j.need) && j.allows(m.block.Breed, m.block.Zone, m.block.Spot) {
+			return true
+		}
+	}
+	return len(s.coming) > 0
+}
+
+// bestKind picks what to rent: spot machines where any can be had, and among
+// those the best-scoring type, in the zone with the fewest of ours.
+func (s *shard) bestKind(j *job, kinds []kind, p *planner, size map[string]placement.Vector) (kind, bool) {
+	var can []kind
+	for _, spot := range []bool{true, false} {
+		for _, k := range kinds {
+			if k.Spot == spot && !p.refused(k) && j.zoneOK(k.Zone) {
+				can = append(can, k)
+			}
+		}
+		if len(can) > 0 || spot && j.spec.Spot && !j.within && j.spec.Level() < protocol.High && s.hosts(j) {
+			break
+		}
+	}
+	if len(can) == 0 {
+		return kind{}, false
+	}
+	inZone := map[string]int{}
+	for _, m := range s.machines {
+		inZone[m.block.Zone]++
+	}
+	for _, k := range s.coming {
+		inZone[k.Zone]++
+	}
+	slices.SortStableFunc(can, func(a, b kind) int { return inZone[a.Zone] - inZone[b.Zone] })
+	i := p.params.Best(len(can), func(i int) (placement.Vector, placement.Vector, bool) {
+		v := size[can[i].Breed]
+		return v.Sub(j.need), v, true
+	})
+	return can[i], true
+}
+
+func sizeOf(b protocol.Breed) placement.Vector {
+	return placement.Vector{b.Cores, b.Cards, b.RAM}
+}
