--- a/internal/coordination/checkin.go
+++ b/internal/coordination/checkin.go
@@ -85,7 +85,8 @@
 	switch t.Cause {
 	case protocol.CauseDone:
 		if !j.spec.Standing() {
-			j.done.Add(x.key.task)
+			j.finish(x.key.task)
+			s.news = s.news || j.complete()
 		}
 		if !x.began.IsZero() && !x.adopted {
 			j.counted++
@@ -95,6 +96,7 @@
 		clear(j.errOn)
 		j.backoff = 0
 	case protocol.CauseError:
+		s.news = true
 		s.failed(m, j, now)
 	}
 	s.drop(x)
@@ -130,7 +132,8 @@
 	}
 	if t.Status == protocol.Ended {
 		if j != nil && !j.spec.Standing() && t.Cause == protocol.CauseDone && k.task < j.spec.Tasks {
-			j.done.Add(k.task)
+			j.finish(k.task)
+			s.news = s.news || j.complete()
 		}
 		m.cleared[k] = t.Try
 		return
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
 	"slices"
 	"time"
 
@@ -146,11 +145,9 @@
 	if !l.rebuilt(now) {
 		return nil
 	}
-	granted := l.granted(n)
 	var names []string
-	for _, id := range slices.Sorted(maps.Keys(l.known)) {
-		k := l.known[id]
-		if _, ok := granted[id]; ok || len(names) == protocol.MaxRelease {
+	for id, k := range l.known {
+		if _, ok := n.owner[id]; ok {
 			continue
 		}
 		ready := n.ready(k.kind.Breed)
@@ -165,7 +162,8 @@
 			names = append(names, id)
 		}
 	}
-	return names
+	slices.Sort(names)
+	return names[:min(len(names), protocol.MaxRelease)]
 }
 
 // listCall reads the whole list and compares it with what is known.
@@ -199,7 +197,7 @@
 		if k == nil {
 			k = &rented{id: id, kind: kind{m.Breed, m.Zone, m.Spot}, asked: sent.Add(-config.Seconds(m.AgeS))}
 			l.known[id] = k
-			if _, ok := l.granted(n)[id]; !ok && m.Status == "starting" {
+			if _, ok := n.owner[id]; !ok && m.Status == "starting" {
 				// Rented by an earlier leader, or by a request given up.
 				l.coming = append(l.coming, &expected{kind: k.kind, shard: len(l.coming) % n.op.Shards, id: id, ask: "", since: now})
 				l.vers[l.coming[len(l.coming)-1].shard]++
@@ -225,18 +223,20 @@
 			}
 		}
 	}
+	l.lost = map[string]bool{}
 	for id, k := range l.known {
 		_, ok := seen[id]
 		// A list may be up to twice the lag old: one asked for that much
 		// after the machine was first shown describes a later time, and
 		// lacks it only if it is gone.
 		k.missing = !ok && !k.first.IsZero() && sent.Sub(k.first) > 2*lag+time.Second
-		if k.missing {
-			if _, held := l.granted(n)[id]; !held {
-				delete(l.known, id)
-				l.deleted[id] = true
-				l.drop(func(e *expected) bool { return e.id == id })
-			}
+		_, held := n.owner[id]
+		if k.missing && !held {
+			delete(l.known, id)
+			l.deleted[id] = true
+			l.drop(func(e *expected) bool { return e.id == id })
+		} else if held && (k.missing || k.status == "failed") {
+			l.lost[id] = true
 		}
 	}
 	// Machines that are late to boot are not counted on any longer.
--- a/internal/coordination/dispatch.go
+++ b/internal/coordination/dispatch.go
@@ -46,39 +46,37 @@
 	if !n.valid(now) {
 		return 503, orders, ""
 	}
-	for i, g := range n.grantRecs {
-		for _, b := range g.v.Blocks {
-			if b.Machine != r.Machine {
-				continue
-			}
-			s := n.shards[i]
-			if s == nil {
-				return 421, orders, n.redirect(n.shardRecs[i].v.Holder.Name)
-			}
-			m := s.machines[r.Machine]
-			if m == nil || m.release || !s.report(m, r, now) {
-				return 503, orders, ""
-			}
-			if s.freed {
-				// Place at once, so that starts travel with this very answer
-				// and room that came free does not wait for another report.
-				s.placeWaiting(s.sorted(), n.planner(now), now)
-			}
-			n.wake()
-			// The time again: reading the report may have taken a while.
-			now = n.now()
-			if !now.Before(n.validTil) {
-				return 503, orders, ""
-			}
-			return 200, protocol.Orders{Baton: s.baton(m), Orders: s.orders(m, now)}, ""
+	i, granted := n.owner[r.Machine]
+	if !granted {
+		if n.lead == nil {
+			return 421, orders, n.redirect(n.leaderRec.v.Name)
 		}
-	}
-	if n.lead != nil {
 		n.lead.reported(r, now)
 		n.wake()
 		return 503, orders, ""
 	}
-	return 421, orders, n.redirect(n.leaderRec.v.Name)
+	s := n.shards[i]
+	if s == nil {
+		return 421, orders, n.redirect(n.shardRecs[i].v.Holder.Name)
+	}
+	m := s.machines[r.Machine]
+	if m == nil || m.release || !s.report(m, r, now) {
+		return 503, orders, ""
+	}
+	if s.freed {
+		// Place at once, so that starts travel with this very answer and room
+		// that came free does not wait for another report.
+		s.fill(m, n.teams)
+	}
+	if s.news {
+		n.wake()
+	}
+	// The time again: reading the report may have taken a while.
+	now = n.now()
+	if !now.Before(n.validTil) {
+		return 503, orders, ""
+	}
+	return 200, protocol.Orders{Baton: s.baton(m), Orders: s.orders(m, now)}, ""
 }
 
 func (n *Node) redirect(name string) string {
--- a/internal/coordination/empty.go
+++ b/internal/coordination/empty.go
@@ -1,7 +1,9 @@
 package coordination
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"time"
 
 	"reedtrack/internal/placement"
@@ -44,13 +46,18 @@
 			return // one at a time
 		}
 	}
-	var best *machine
+	var can []*machine
 	for _, m := range machines {
-		if !m.usable() || m.vacate || len(m.runs) == 0 || !s.movable(m, machines, p, now) {
-			continue
+		if m.usable() && len(m.runs) > 0 {
+			can = append(can, m)
 		}
-		if best == nil || p.price(m.kind()) > p.price(best.kind()) {
+	}
+	slices.SortStableFunc(can, func(a, b *machine) int { return cmp.Compare(p.price(b.kind()), p.price(a.kind())) })
+	var best *machine
+	for _, m := range can {
+		if s.movable(m, can, p, now) {
 			best = m
+			break
 		}
 	}
 	if best == nil {
@@ -82,7 +89,7 @@
 		i := p.params.Best(len(machines), func(i int) (placement.Vector, placement.Vector, bool) {
 			o := machines[i]
 			free := o.free().Sub(room[o])
-			ok := o != m && o.usable() && !o.vacate && len(o.runs) > 0 && p.price(o.kind()) <= p.price(m.kind()) &&
+			ok := o != m && !o.vacate && p.price(o.kind()) <= p.price(m.kind()) &&
 				free.Fits(j.need) && j.allows(o.block.Breed, o.block.Zone, o.block.Spot) && j.zoneOK(o.block.Zone)
 			return free.Sub(j.need), o.size, ok
 		})
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -29,8 +29,9 @@
 			n.shardChanged(i)
 		}
 	} else if i, ok := storage.CutGrant(path); ok {
+		was := n.grantRecs[i].v.Blocks
 		if err = put(n.grantRecs, i, data, stamp); err == nil {
-			n.grantChanged(i)
+			n.grantChanged(i, was)
 		}
 	} else if id, ok := storage.CutJob(path); ok {
 		if err = n.jobChanged(id, data, stamp); err != nil {
@@ -134,12 +135,20 @@
 	slog.Info("shard taken up", "shard", i, "term", s.term, "blocks", len(s.machines), "jobs", len(s.jobs))
 }
 
-func (n *Node) grantChanged(i int) {
-	if s := n.shards[i]; s != nil {
-		if g, ok := n.grantRecs[i]; ok {
-			s.setGrant(g.v, n.size, n.now())
+// grantChanged follows a grant that held other blocks before.
+func (n *Node) grantChanged(i int, was []storage.Block) {
+	for _, b := range was {
+		if n.owner[b.Machine] == i {
+			delete(n.owner, b.Machine)
 		}
 	}
+	g, ok := n.grantRecs[i]
+	for _, b := range g.v.Blocks {
+		n.owner[b.Machine] = i
+	}
+	if s := n.shards[i]; s != nil && ok {
+		s.setGrant(g.v, n.size, n.now())
+	}
 }
 
 func (n *Node) jobChanged(id string, data []byte, stamp uint64) error {
@@ -158,9 +167,11 @@
 	if err := json.Unmarshal(data, &jr.rec); err != nil {
 		return err
 	}
-	if _, err := storage.ParseSet(jr.rec.Done, jr.rec.Spec.Tasks); err != nil {
+	done, err := storage.ParseSet(jr.rec.Done, jr.rec.Spec.Tasks)
+	if err != nil {
 		return err
 	}
+	jr.done = done.Len()
 	n.jobs[id] = jr
 	if s := n.shards[jr.rec.Shard]; s != nil {
 		s.addJob(n.newJob(jr))
--- a/internal/coordination/giveback.go
+++ b/internal/coordination/giveback.go
@@ -25,6 +25,10 @@
 	}
 }
 
+// unseen is how long a successful write may take to show in the copies before
+// it is no longer waited for.
+const unseen = time.Second
+
 // writeGrants writes the grants of this controller's shards without the blocks
 // and the shares that are given back.
 func (n *Node) writeGrants(ctx context.Context) {
@@ -35,12 +39,15 @@
 	}
 	var changes []change
 	n.mu.Lock()
+	now := n.now()
 	for i, s := range n.shards {
-		short := n.shortTeams(i)
 		g, ok := n.grantRecs[i]
-		if !ok || s.writes {
+		// A write that has succeeded is first seen in the record: another
+		// one before then would only fail.
+		if !ok || s.writes || g.stamp < s.wrote && now.Sub(s.wroteAt) < unseen {
 			continue
 		}
+		short := n.shortTeams(i)
 		next := storage.Grant{Shares: map[string]storage.Amount{}}
 		var out []string
 		for _, b := range g.v.Blocks {
@@ -75,9 +82,12 @@
 	}
 	n.mu.Unlock()
 	for _, c := range changes {
-		_, err := n.state.Multi(ctx, c.txn)
+		rev, err := n.state.Multi(ctx, c.txn)
 		n.mu.Lock()
 		c.s.writes = false
+		if err == nil {
+			c.s.wrote, c.s.wroteAt = rev, n.now()
+		}
 		n.mu.Unlock()
 		slog.Info("gave back", "shard", c.s.index, "blocks", c.out, "err", err)
 	}
--- a/internal/coordination/gossip.go
+++ b/internal/coordination/gossip.go
@@ -43,9 +43,9 @@
 
 // ShardReply tells a holder which machines are on their way to its shard.
 type ShardReply struct {
-	Index  int
-	Ver    uint64
-	Coming []kind
+	Index   int
+	Ver     uint64
+	Booting []rentWant
 }
 
 const gossipEvery = 500 * time.Millisecond
@@ -53,7 +53,11 @@
 func (n *Node) gossipLoop(ctx context.Context, name string, p Peer) {
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		st := n.status()
+		if now := n.now(); n.told == nil || now.Sub(n.told.at) > gossipEvery/2 {
+			n.told = n.status() // the same for all peers
+			n.told.at = now
+		}
+		st := n.told
 		n.mu.Unlock()
 		var r Reply
 		if err := p.Call(time.Second, st, &r); err != nil {
@@ -121,7 +125,7 @@
 	}
 	for _, sr := range r.Shards {
 		if s := n.shards[sr.Index]; s != nil && s.comingVer != sr.Ver {
-			s.comingVer, s.coming = sr.Ver, sr.Coming
+			s.comingVer, s.coming = sr.Ver, sr.Booting
 			s.rent = s.rent[:0] // worked out anew before it is told again
 			n.wake()
 		}
--- a/internal/coordination/grants.go
+++ b/internal/coordination/grants.go
@@ -14,7 +14,7 @@
 // grantTxn works out the next grant, or nil. Every grant is conditional on
 // the leader's key and on the last term, and mints a new one: so grants are
 // one after the other, and one that arrives late fails.
-func (n *Node) grantTxn(now time.Time) (*protocol.Txn, string) {
+func (n *Node) grantTxn(mine *Status, now time.Time) (*protocol.Txn, string) {
 	if n.catalog == nil {
 		return nil, ""
 	}
@@ -62,19 +62,17 @@
 	if !n.lead.rebuilt(now) {
 		return nil, ""
 	}
-	grants := map[int]storage.Grant{}
-	what := n.grantBlocks(grants, next.N, now)
-	what += n.grantShares(grants)
-	if len(grants) == 0 {
+	d := newDraft(n)
+	stats := n.shardStats(mine)
+	what := n.grantBlocks(d, stats, next.N, now)
+	what += n.grantShares(d, stats)
+	if len(d.grants) == 0 {
 		return nil, ""
 	}
-	for _, i := range slices.Sorted(maps.Keys(grants)) {
-		if len(txn.Writes) == n.set.Deployment.State.TxnOps {
-			break
-		}
+	for _, i := range slices.Sorted(maps.Keys(d.grants)) {
 		txn.When = append(txn.When, protocol.Cond{Path: storage.GrantKey(i), Stamp: n.grantRecs[i].stamp},
 			protocol.Cond{Path: storage.ShardKey(i), Stamp: n.shardRecs[i].stamp})
-		txn.Writes = append(txn.Writes, protocol.Write{Put: storage.GrantKey(i), Data: grants[i]})
+		txn.Writes = append(txn.Writes, protocol.Write{Put: storage.GrantKey(i), Data: d.grants[i]})
 	}
 	return txn, what
 }
@@ -98,54 +96,38 @@
 	return n.aliveNodes[names[0]].v, true
 }
 
-// shardStatus is the freshest word of a shard's holder.
-func (n *Node) shardStatus(i int) *ShardStatus {
-	term := n.shardRecs[i].v.Term
-	if n.shards[i] != nil {
-		st := n.status()
+// shardStats are the freshest words of the shards' holders; nil for a shard
+// whose holder has not been heard.
+func (n *Node) shardStats(mine *Status) []*ShardStatus {
+	stats := make([]*ShardStatus, n.op.Shards)
+	look := func(st *Status) {
 		for k := range st.Shards {
-			if st.Shards[k].Index == i {
-				return &st.Shards[k]
+			ss := &st.Shards[k]
+			if ss.Index < len(stats) && n.shardRecs[ss.Index].v.Term == ss.Term {
+				stats[ss.Index] = ss
 			}
 		}
-		return nil
 	}
 	for _, o := range n.others {
-		for k := range o.Shards {
-			if o.Shards[k].Index == i && o.Shards[k].Term == term {
-				return &o.Shards[k]
-			}
-		}
-	}
-	return nil
-}
-
-func (n *Node) editGrant(grants map[int]storage.Grant, i int) storage.Grant {
-	if g, ok := grants[i]; ok {
-		return g
-	}
-	old := n.grantRecs[i].v
-	g := storage.Grant{Blocks: slices.Clone(old.Blocks), Shares: maps.Clone(old.Shares)}
-	if g.Shares == nil {
-		g.Shares = map[string]storage.Amount{}
+		look(o)
 	}
-	return g
+	look(mine)
+	return stats
 }
 
 // grantBlocks gives machines that are up and belong to nobody to the shard
 // they were rented for, or to one whose tasks wait for such a machine.
-func (n *Node) grantBlocks(grants map[int]storage.Grant, term uint64, now time.Time) string {
+func (n *Node) grantBlocks(d *draft, stats []*ShardStatus, term uint64, now time.Time) string {
 	l := n.lead
-	granted := l.granted(n)
-	what := ""
-	stats := map[int]*ShardStatus{}
-	given := map[int]int{}
-	for i := range n.op.Shards {
-		stats[i] = n.shardStatus(i)
+	rentedFor := map[string]int{}
+	for _, e := range l.coming {
+		if e.id != "" {
+			rentedFor[e.id] = e.shard
+		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(l.known)) {
-		k := l.known[id]
-		if _, ok := granted[id]; ok {
+	var free []*rented
+	for id, k := range l.known {
+		if _, ok := n.owner[id]; ok {
 			k.granted, k.freed = true, time.Time{}
 			continue
 		}
@@ -155,19 +137,25 @@
 		if k.freed.IsZero() {
 			k.freed = now
 		}
-		to := -1
-		for _, e := range l.coming {
-			if e.id == id {
-				to = e.shard
-			}
+		free = append(free, k)
+	}
+	slices.SortFunc(free, func(a, b *rented) int { return cmp.Compare(a.id, b.id) })
+	what := ""
+	given := map[int]int{}
+	done := map[string]bool{}
+	for _, k := range free {
+		fits := func(i int) bool {
+			return stats[i] != nil && slices.Contains(stats[i].Fits, k.kind) && d.takes(i, k)
 		}
-		if to >= 0 && (stats[to] == nil || !slices.Contains(stats[to].Fits, k.kind) && len(stats[to].Rent) == 0) {
-			// Rented for tasks that have found another place since.
-			to = -1
+		to := -1
+		// One rented for tasks that have found another place since may serve
+		// others.
+		if i, ok := rentedFor[k.id]; ok && (fits(i) || stats[i] != nil && len(stats[i].Rent) > 0 && d.takes(i, k)) {
+			to = i
 		}
 		if to < 0 {
-			for i := range n.op.Shards {
-				if st := stats[i]; st != nil && slices.Contains(st.Fits, k.kind) && (to < 0 || given[i] < given[to]) {
+			for i := range stats {
+				if fits(i) && (to < 0 || given[i] < given[to]) {
 					to = i
 				}
 			}
@@ -176,40 +164,35 @@
 			continue
 		}
 		given[to]++
-		g := n.editGrant(grants, to)
-		g.Blocks = append(g.Blocks, storage.Block{Machine: id, Breed: k.kind.Breed, Zone: k.kind.Zone, Spot: k.kind.Spot, Term: term, AtMS: now.UnixMilli()})
-		grants[to] = g
-		l.drop(func(e *expected) bool { return e.id == id })
-		what += fmt.Sprintf(" %s->%d", id, to)
+		done[k.id] = true
+		d.add(to, storage.Block{Machine: k.id, Breed: k.kind.Breed, Zone: k.kind.Zone, Spot: k.kind.Spot, Term: term, AtMS: now.UnixMilli()})
+		what += fmt.Sprintf(" %s->%d", k.id, to)
 	}
+	l.drop(func(e *expected) bool { return done[e.id] })
 	return what
 }
 
 // grantShares gives room of the teams' limits that no shard has to those that
-// want it.
-func (n *Node) grantShares(grants map[int]storage.Grant) string {
+// want it. A little more than is wanted spares the next grant.
+func (n *Node) grantShares(d *draft, stats []*ShardStatus) string {
 	what := ""
-	for name, t := range n.teams {
-		var sum storage.Amount
+	for _, name := range slices.Sorted(maps.Keys(n.teams)) {
+		t := n.teams[name]
+		free := t.limit
 		for _, g := range n.grantRecs {
-			sum.Cores += g.v.Shares[name].Cores
-			sum.Cards += g.v.Shares[name].Cards
+			free.Cores -= g.v.Shares[name].Cores
+			free.Cards -= g.v.Shares[name].Cards
 		}
-		free := storage.Amount{Cores: t.limit.Cores - sum.Cores, Cards: t.limit.Cards - sum.Cards}
-		for i := range n.op.Shards {
-			st := n.shardStatus(i)
+		for i, st := range stats {
 			if st == nil {
 				continue
 			}
 			have, want := n.grantRecs[i].v.Shares[name], st.Wanted[name]
-			more := storage.Amount{Cores: max(0, min(free.Cores, want.Cores-have.Cores)),
-				Cards: max(0, min(free.Cards, want.Cards-have.Cards))}
-			if more.Cores < 1e-6 && more.Cards < 1e-6 {
+			more := storage.Amount{Cores: n.moreShare(free.Cores, want.Cores-have.Cores, t.limit.Cores),
+				Cards: n.moreShare(free.Cards, want.Cards-have.Cards, t.limit.Cards)}
+			if more.Cores < 1e-6 && more.Cards < 1e-6 || !d.share(i, name, storage.Amount{Cores: have.Cores + more.Cores, Cards: have.Cards + more.Cards}) {
 				continue
 			}
-			g := n.editGrant(grants, i)
-			g.Shares[name] = storage.Amount{Cores: have.Cores + more.Cores, Cards: have.Cards + more.Cards}
-			grants[i] = g
 			free.Cores -= more.Cores
 			free.Cards -= more.Cards
 			what += fmt.Sprintf(" %s+%g->%d", name, more.Cores, i)
@@ -217,3 +200,10 @@
 	}
 	return what
 }
+
+func (n *Node) moreShare(free, short, limit float64) float64 {
+	if short <= 0 {
+		return 0
+	}
+	return max(0, min(free, max(short, limit/float64(4*n.op.Shards))))
+}
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -137,10 +137,11 @@
 		{Machine: "old", AtMS: sent.Add(-lag - 2*time.Second).UnixMilli()},
 		{Machine: "new", AtMS: sent.Add(-lag).UnixMilli()},
 		{Machine: "listed", AtMS: sent.Add(-time.Hour).UnixMilli()}}}, 1}
+	n.grantChanged(0, nil)
 	l := newLeader(1, sent)
 	n.listCall(context.Background(), l, sent)
 	var r Reply
-	l.answer(n, &Status{}, &r, sent)
+	l.answer(n, &Status{Shards: []ShardStatus{{Index: 0}}}, &r, sent)
 	if len(r.Gone) != 1 || r.Gone[0] != "old" {
 		t.Errorf("gone: %v", r.Gone)
 	}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -24,8 +24,10 @@
 	refused map[kind]time.Time
 	bad     map[string]bool
 	deleted map[string]bool
+	lost    map[string]bool // granted machines that the last list shows as failed, or lacks
+	wrote   uint64          // revision of the last grant that was written
+	wroteAt time.Time
 	listed  time.Time // when the last whole list was asked for
-	listing bool
 	caught  time.Time // when the catalog was last read
 }
 
@@ -142,11 +144,16 @@
 	r.Lead = true
 	for _, ss := range st.Shards {
 		sr := ShardReply{Index: ss.Index, Ver: l.ver(ss.Index)}
+		count := map[kind]int{}
 		for _, e := range l.coming {
 			if e.shard == ss.Index {
-				sr.Coming = append(sr.Coming, e.kind)
+				count[e.kind]++
 			}
 		}
+		for k, c := range count {
+			sr.Booting = append(sr.Booting, rentWant{k, c})
+		}
+		sortWants(sr.Booting)
 		r.Shards = append(r.Shards, sr)
 	}
 	for k, t := range l.refused {
@@ -154,31 +161,22 @@
 			r.Refused = append(r.Refused, k)
 		}
 	}
-	for id := range l.granted(n) {
-		if k := l.known[id]; k != nil && (k.status == "failed" || k.missing) {
+	for id := range l.lost {
+		if i, ok := n.owner[id]; ok && slices.ContainsFunc(st.Shards, func(ss ShardStatus) bool { return ss.Index == i }) {
 			r.Gone = append(r.Gone, id)
 		}
 	}
 }
 
-func (l *leader) granted(n *Node) map[string]int {
-	m := map[string]int{}
-	for i, g := range n.grantRecs {
-		for _, b := range g.v.Blocks {
-			m[b.Machine] = i
-		}
-	}
-	return m
-}
-
 // leadTick takes part in leadership and, as the leader, grants.
-func (n *Node) leadTick(ctx context.Context) {
+func (n *Node) leadTick(ctx context.Context) time.Duration {
 	n.mu.Lock()
 	now := n.now()
 	if !n.valid(now) {
 		n.mu.Unlock()
-		return
+		return 0
 	}
+	n.state.Lead(n.me(n.leaderRec.v))
 	if !n.me(n.leaderRec.v) {
 		n.lead = nil
 		free := n.leaderRec.stamp == 0 || n.leaderRec.v.Name == n.set.HostName
@@ -190,27 +188,43 @@
 				Writes: []protocol.Write{{Put: storage.LeaderKey, Data: me, Hold: me.Session}}})
 			slog.Debug("standing for leader", "err", err)
 		}
-		return
+		return 0
 	}
 	if n.lead == nil || n.lead.stamp != n.leaderRec.stamp {
 		n.lead = newLeader(n.leaderRec.stamp, now)
 		slog.Info("leading", "stamp", n.lead.stamp)
 	}
+	start := time.Now()
 	// The leader's own shards speak to it like the others'.
 	st := n.status()
 	n.lead.hear(n, st, now)
 	r := Reply{From: n.set.HostName, Valid: true}
 	n.lead.answer(n, st, &r, now)
 	n.takeReply(&r)
-	txn, what := n.grantTxn(now)
+	var txn *protocol.Txn
+	var what string
+	// The next grant names the term of the last one: it waits for that to
+	// show in the copy here.
+	if n.term.stamp >= n.lead.wrote || now.Sub(n.lead.wroteAt) > unseen {
+		txn, what = n.grantTxn(st, now)
+	}
+	l := n.lead
+	took := time.Since(start)
 	n.mu.Unlock()
 	if txn == nil {
-		return
+		return took
 	}
-	_, err := n.state.Multi(ctx, *txn)
-	if err != nil && !errors.Is(err, storage.ErrConflict) {
+	rev, err := n.state.Multi(ctx, *txn)
+	switch {
+	case err == nil:
+		n.mu.Lock()
+		l.wrote, l.wroteAt = rev, n.now()
+		n.mu.Unlock()
+		slog.Info("granted", "what", what)
+	case errors.Is(err, storage.ErrConflict) || errors.Is(err, storage.ErrBudget):
+		slog.Debug("grant not written", "what", what, "err", err)
+	default:
 		slog.Warn("grant not written", "what", what, "err", err)
-		return
 	}
-	slog.Info("granted", "what", what, "err", err)
+	return took
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -33,17 +33,19 @@
 		sent time.Time
 	}
 
-	mu       sync.Mutex
-	kick     chan struct{}
-	session  uint64
-	validTil time.Time // this controller may act until then
-	synced   time.Time // everything changed before then is in the copies below
-	loaded   bool
-	acted    bool // as last logged
+	mu                        sync.Mutex
+	kick, kickWrite, kickLead chan struct{}
+	weighed                   time.Time // last thorough plan
+	session                   uint64
+	validTil                  time.Time // this controller may act until then
+	synced                    time.Time // everything changed before then is in the copies below
+	loaded                    bool
+	acted                     bool // as last logged
 
 	aliveNodes map[string]entry[storage.Node]
 	shardRecs  map[int]entry[storage.Shard]
 	grantRecs  map[int]entry[storage.Grant]
+	owner      map[string]int // the shard of each granted machine
 	jobs       map[string]*jobRec
 	unread     map[string]bool // live jobs whose record can't be read
 	term       entry[storage.Term]
@@ -52,14 +54,17 @@
 	sizes      map[string]placement.Vector
 	teams      map[string]team
 
-	shards map[int]*shard // those held by this controller
-	others map[string]*Status
-	lead   *leader
-	ended  map[string]storage.End // ends that are certain
-	endedQ []string
-	refuse map[kind]time.Time
-	gone   map[string]bool
-	bad    map[string]bool // machines found faulty, for the leader to replace
+	shards  map[int]*shard // those held by this controller
+	others  map[string]*Status
+	number  int // of this controller among all
+	pending map[string]pending
+	told    *Status // last told to the others
+	lead    *leader
+	ended   map[string]storage.End // ends that are certain
+	endedQ  []string
+	refuse  map[kind]time.Time
+	gone    map[string]bool
+	bad     map[string]bool // machines found faulty, for the leader to replace
 }
 
 type entry[T any] struct {
@@ -70,6 +75,7 @@
 type jobRec struct {
 	rec   storage.Job
 	stamp uint64
+	done  int // how many tasks the record shows as done
 }
 
 // Peer calls another controller.
@@ -94,11 +100,17 @@
 // New returns a controller that has not started.
 func New(set *config.Settings, op config.Operator, state *storage.Client, cloud Cloud, peers map[string]Peer, direct Direct) *Node {
 	n := &Node{set: set, op: op, timing: set.Timing(op), state: state, cloud: cloud, peers: peers, direct: direct,
-		now: time.Now, kick: make(chan struct{}, 1),
+		now: time.Now, kick: make(chan struct{}, 1), kickWrite: make(chan struct{}, 1), kickLead: make(chan struct{}, 1),
 		aliveNodes: map[string]entry[storage.Node]{}, shardRecs: map[int]entry[storage.Shard]{},
-		grantRecs: map[int]entry[storage.Grant]{}, jobs: map[string]*jobRec{}, unread: map[string]bool{}, sizes: map[string]placement.Vector{},
+		grantRecs: map[int]entry[storage.Grant]{}, owner: map[string]int{}, jobs: map[string]*jobRec{}, unread: map[string]bool{}, sizes: map[string]placement.Vector{},
 		teams: map[string]team{}, shards: map[int]*shard{}, others: map[string]*Status{},
 		ended: map[string]storage.End{}, refuse: map[kind]time.Time{}, gone: map[string]bool{}, bad: map[string]bool{}}
+	n.pending = map[string]pending{}
+	for _, s := range set.Siblings {
+		if s.Name < set.HostName {
+			n.number++
+		}
+	}
 	for _, t := range set.Deployment.Teams {
 		n.teams[t.Name] = team{limit: storage.Amount{Cores: t.CPUsMax, Cards: t.GPUsMax},
 			guarantee: storage.Amount{Cores: t.CPUs, Cards: t.GPUs}}
@@ -108,11 +120,14 @@
 
 // Run runs the controller's loops until ctx ends.
 func (n *Node) Run(ctx context.Context) {
-	rep := &storage.Replica{Client: n.state, Apply: n.apply, Synced: n.onSync, Poll: n.op.HolderLease / 4}
+	rep := &storage.Replica{Client: n.state, Apply: n.apply, Synced: n.onSync, Poll: n.op.HolderLease / 4, Rest: storage.WatchRest(n.set.Deployment.State.RPS, n.set.Deployment.Count)}
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){n.leaseLoop, rep.Run, n.tickLoop, n.cloudLoop} {
+	for _, loop := range []func(context.Context){n.leaseLoop, rep.Run, n.cloudLoop} {
 		wg.Go(func() { loop(ctx) })
 	}
+	wg.Go(func() { every(ctx, n.kick, n.tick) })
+	wg.Go(func() { every(ctx, n.kickWrite, n.write) })
+	wg.Go(func() { every(ctx, n.kickLead, n.leadTick) })
 	for name, p := range n.peers {
 		wg.Go(func() { n.gossipLoop(ctx, name, p) })
 	}
--- a/internal/coordination/overview.go
+++ b/internal/coordination/overview.go
@@ -27,7 +27,7 @@
 			}
 		}
 		if s := n.shards[i]; s != nil {
-			v.Mine, v.Settled, v.Coming = true, s.settled, len(s.coming)
+			v.Mine, v.Settled, v.Coming = true, s.settled, s.awaited()
 			for _, j := range s.jobs {
 				v.Waiting += j.waiting()
 				o.Jobs = append(o.Jobs, transport.JobView{ID: j.id, Class: j.spec.Class, Team: j.spec.Team, Urgency: j.spec.Urgency,
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -2,8 +2,6 @@
 
 import (
 	"log/slog"
-	"slices"
-	"time"
 
 	"reedtrack/internal/placement"
 	"reedtrack/internal/storage"
@@ -29,6 +27,11 @@
 	return !j.spec.Spread || here < (j.spec.Tasks+1)/2
 }
 
+// takes tells whether a machine may get one more task of a job, room apart.
+func (j *job) takes(m *machine) bool {
+	return m.usable() && !m.vacate && j.allows(m.block.Breed, m.block.Zone, m.block.Spot) && !j.errOn[m.block.Machine] && j.zoneOK(m.block.Zone)
+}
+
 // room tells how many more tasks of a job its team's share allows.
 func (s *shard) room(j *job, teams map[string]team, unknown storage.Amount) int {
 	t, used, share := teams[j.spec.Team], s.used[j.spec.Team], s.shares[j.spec.Team]
@@ -44,15 +47,23 @@
 }
 
 // placeWaiting places what fits, and returns what does not though its team's
-// share would allow it.
-func (s *shard) placeWaiting(machines []*machine, p *planner, now time.Time) []unfit {
+// share would allow it. It leaves the jobs with tasks to start in s.queue.
+func (s *shard) placeWaiting(machines []*machine, p *planner) []unfit {
 	unknown := s.unknown()
 	clear(s.wanted)
 	for name, u := range s.used {
 		s.wanted[name] = u
 	}
+	least := leastNeed(s.queue)
+	var open []*machine
+	for _, m := range machines {
+		if m.usable() && !m.vacate && m.free().Fits(least) {
+			open = append(open, m)
+		}
+	}
 	var left []unfit
-	for _, j := range s.order(p, now) {
+	claimed := map[string]storage.Amount{} // by what is left, per team
+	for _, j := range s.queue {
 		waiting := j.waiting()
 		w := s.wanted[j.spec.Team]
 		w.Cores += float64(waiting) * j.need[0]
@@ -62,21 +73,51 @@
 		if j.spec.Group() && (n < waiting || len(j.runs) > 0) {
 			continue // a gang starts whole, and when its last try is over
 		}
-		placed := s.spread(j, n, machines, p)
+		placed := s.spread(j, n, open, p)
 		if j.spec.Group() {
 			s.join(placed, n)
 			if len(placed) < n {
 				placed = nil
 			}
 		}
-		if n -= len(placed); n > 0 {
+		c := claimed[j.spec.Team]
+		if n = min(n-len(placed), s.room(j, p.teams, storage.Amount{Cores: unknown.Cores + c.Cores, Cards: unknown.Cards + c.Cards})); n > 0 {
 			left = append(left, unfit{j, n})
+			c.Cores += float64(n) * j.need[0]
+			c.Cards += float64(n) * j.need[1]
+			claimed[j.spec.Team] = c
 		}
 	}
 	s.freed = false
 	return left
 }
 
+// fill places waiting tasks on a machine on which room has come free, in the
+// order of the last plan. That plan left no task that fits on another machine,
+// so the lowest score is to be had here; gangs wait for the next plan.
+func (s *shard) fill(m *machine, teams map[string]team) {
+	s.freed = false
+	if !m.usable() || m.vacate {
+		return
+	}
+	unknown := s.unknown()
+	for _, j := range s.queue {
+		if !m.free().Fits(j.need) {
+			continue
+		}
+		if s.jobs[j.id] != j || j.unsure || j.spec.Group() || j.waiting() == 0 || !j.takes(m) {
+			continue
+		}
+		for n := s.room(j, teams, unknown); n > 0 && m.free().Fits(j.need) && j.zoneOK(m.block.Zone); n-- {
+			t := j.take()
+			if t < 0 {
+				break
+			}
+			s.place(j, t, m)
+		}
+	}
+}
+
 // join makes one try of a gang's runs, or takes them back if some found no
 // place.
 func (s *shard) join(placed []*run, n int) {
@@ -91,46 +132,60 @@
 
 // spread places up to n tasks of a job, each on the machine with the lowest
 // score after it.
-func (s *shard) spread(j *job, n int, machines []*machine, p *planner) []*run {
+func (s *shard) spread(j *job, n int, open []*machine, p *planner) []*run {
+	if n == 0 {
+		return nil
+	}
+	pick := p.params.Picker(j.need)
+	for i, m := range open {
+		if m.free().Fits(j.need) && j.takes(m) {
+			pick.Offer(i, m.free(), m.size, preference(j, m))
+		}
+	}
 	var placed []*run
-	machines = preferred(j, machines)
 	for len(placed) < n {
-		i := p.params.Best(len(machines), func(i int) (placement.Vector, placement.Vector, bool) {
-			m := machines[i]
-			free := m.free()
-			if !m.usable() || m.vacate || !free.Fits(j.need) || !j.allows(m.block.Breed, m.block.Zone, m.block.Spot) ||
-				!j.zoneOK(m.block.Zone) || j.errOn[m.block.Machine] {
-				return placement.Vector{}, placement.Vector{}, false
-			}
-			return free.Sub(j.need), m.size, true
-		})
+		i := pick.Best()
 		if i < 0 {
 			break
 		}
+		if !j.zoneOK(open[i].block.Zone) {
+			pick.Drop()
+			continue
+		}
 		t := j.take()
 		if t < 0 {
 			break
 		}
-		placed = append(placed, s.place(j, t, machines[i]))
-		slog.Debug("placed", "job", j.id, "task", t, "machine", machines[i].block.Machine)
+		pick.Take()
+		placed = append(placed, s.place(j, t, open[i]))
+		slog.Debug("placed", "job", j.id, "task", t, "machine", open[i].block.Machine)
 	}
 	return placed
 }
 
-// preferred puts the machines in the order in which equal scores are decided:
-// those that have had the job's image first, and spot before ordinary ones.
-func preferred(j *job, machines []*machine) []*machine {
-	out := slices.Clone(machines)
-	rank := func(m *machine) int {
-		r := 0
-		if !m.images[j.spec.Image] {
-			r = 2
-		}
-		if !m.block.Spot {
-			r++
+// preference decides equal scores: machines that have had the job's image
+// first, and spot before ordinary ones.
+func preference(j *job, m *machine) int {
+	r := 0
+	if !m.images[j.spec.Image] {
+		r = 2
+	}
+	if !m.block.Spot {
+		r++
+	}
+	return r
+}
+
+// leastNeed is what every one of the jobs' tasks needs at least.
+func leastNeed(jobs []*job) placement.Vector {
+	if len(jobs) == 0 {
+		return placement.Vector{}
+	}
+	least := jobs[0].need
+	for _, j := range jobs[1:] {
+		for d := range least {
+			least[d] = min(least[d], j.need[d])
 		}
-		return r
 	}
-	slices.SortStableFunc(out, func(a, b *machine) int { return rank(a) - rank(b) })
-	return out
+	return least
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -33,14 +33,22 @@
 	count int
 }
 
-// plan places waiting tasks, picks victims and works out what to rent.
-func (s *shard) plan(p *planner, now time.Time) {
+// plan places waiting tasks, picks victims and works out what to rent. What
+// weighs every task against every machine is left to a thorough plan, which
+// need not come as often.
+func (s *shard) plan(p *planner, thorough bool, now time.Time) {
 	machines := s.sorted()
-	left := s.placeWaiting(machines, p, now)
+	s.queue = s.order(p, now)
+	left := s.placeWaiting(machines, p)
 	s.drain(machines, p, now)
-	left = s.preempt(left, machines, p, now)
+	left = s.awaitHalts(left, machines)
+	if thorough {
+		left = s.preempt(left, machines, p, now)
+	}
 	s.wantMachines(left, p)
-	s.consolidate(left, machines, p, now)
+	if thorough || len(left) > 0 {
+		s.consolidate(left, machines, p, now)
+	}
 	for _, m := range machines {
 		if len(m.runs) > 0 {
 			m.idle = now
@@ -51,9 +59,12 @@
 // sorted lists the shard's machines by name, so that a plan does not depend on
 // the order of a map.
 func (s *shard) sorted() []*machine {
-	return slices.SortedFunc(maps.Values(s.machines), func(a, b *machine) int {
-		return cmp.Compare(a.block.Machine, b.block.Machine)
-	})
+	if s.list == nil {
+		s.list = slices.SortedFunc(maps.Values(s.machines), func(a, b *machine) int {
+			return cmp.Compare(a.block.Machine, b.block.Machine)
+		})
+	}
+	return s.list
 }
 
 func (p *planner) size(breed string) placement.Vector {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -2,74 +2,126 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
 )
 
-// preempt stops work of lower priority, or beyond a guarantee, for jobs that
-// nothing else will serve soon. It returns what remains unserved.
-func (s *shard) preempt(left []unfit, machines []*machine, p *planner, now time.Time) []unfit {
-	freed := make([]placement.Vector, len(machines))
-	for i, m := range machines {
-		freed[i] = m.free()
+// awaitHalts leaves out what will fit once tasks that were told to stop are
+// gone.
+func (s *shard) awaitHalts(left []unfit, machines []*machine) []unfit {
+	type place struct {
+		m    *machine
+		free placement.Vector
+	}
+	var halting []*place
+	for _, m := range machines {
+		free, some := m.free(), false
 		for _, r := range m.runs {
 			if r.halt {
-				freed[i] = freed[i].Add(r.job.need)
+				free, some = free.Add(r.job.need), true
 			}
 		}
+		if some && m.usable() {
+			halting = append(halting, &place{m, free})
+		}
+	}
+	if len(halting) == 0 {
+		return left
 	}
 	var rest []unfit
 	for _, u := range left {
-		j := u.job
-		n := u.count
-		eager := p.eager(j, now)
-		for n > 0 {
-			best, low := -1, 0.0
-			var pick []*run
-			for i, m := range machines {
-				if !m.usable() || !j.allows(m.block.Breed, m.block.Zone, m.block.Spot) || !j.zoneOK(m.block.Zone) || j.errOn[m.block.Machine] {
-					continue
-				}
-				if freed[i].Fits(j.need) {
-					best, pick = i, nil
-					break
-				}
-				if !eager {
-					continue
-				}
-				runs, victims := s.victims(j, m, p, now)
-				idx, loss := placement.Preempt(freed[i], j.need, victims)
-				// Stopping work that costs more than the task itself gains
-				// nobody anything.
-				if len(idx) > 0 && loss <= j.need[0]*max(j.spec.GuessS, 1) && (best < 0 || loss < low) {
-					best, low, pick = i, loss, nil
-					for _, k := range idx {
-						pick = append(pick, runs[k])
-					}
-				}
+		for _, p := range halting {
+			j := u.job
+			for u.count > 0 && p.free.Fits(j.need) && j.allows(p.m.block.Breed, p.m.block.Zone, p.m.block.Spot) &&
+				j.zoneOK(p.m.block.Zone) && !j.errOn[p.m.block.Machine] {
+				p.free = p.free.Sub(j.need)
+				u.count--
 			}
-			if best < 0 {
-				break
+		}
+		if u.count > 0 {
+			rest = append(rest, u)
+		}
+	}
+	return rest
+}
+
+// stoppable is what may be stopped on a machine in favour of one job's task.
+type stoppable struct {
+	m    *machine
+	runs []*run
+	loss float64
+}
+
+// preempt stops work of lower priority, or beyond a guarantee, for jobs that
+// nothing else will serve soon. It returns what remains unserved.
+func (s *shard) preempt(left []unfit, machines []*machine, p *planner, now time.Time) []unfit {
+	var rest []unfit
+	for _, u := range left {
+		if p.eager(u.job, now) {
+			u.count -= s.stopFor(u, machines, p, now)
+		}
+		if u.count > 0 {
+			rest = append(rest, u)
+		}
+	}
+	return rest
+}
+
+// stopFor stops what costs least until as many tasks as are wanted have room,
+// and returns for how many it did.
+func (s *shard) stopFor(u unfit, machines []*machine, p *planner, now time.Time) int {
+	j := u.job
+	// Stopping work that costs more than the task itself gains nobody
+	// anything.
+	most := j.need[0] * max(j.spec.GuessS, 1)
+	var all []stoppable
+	for _, m := range machines {
+		if m.usable() && j.allows(m.block.Breed, m.block.Zone, m.block.Spot) && j.zoneOK(m.block.Zone) && !j.errOn[m.block.Machine] {
+			if c := s.cheapest(j, m, p, now); c.runs != nil && c.loss <= most {
+				all = append(all, c)
 			}
-			for _, r := range pick {
-				slog.Info("preempting", "job", r.key.job, "task", r.key.task, "for", j.id, "machine", r.m.block.Machine)
-				freed[best] = freed[best].Add(r.job.need)
-				if !r.sent {
-					s.drop(r)
-					continue
-				}
-				r.halt, r.mercy = true, r.job.spec.SaveTake
+		}
+	}
+	n := 0
+	for ; n < u.count && len(all) > 0; n++ {
+		best := 0
+		for i := range all {
+			if all[i].loss < all[best].loss {
+				best = i
 			}
-			freed[best] = freed[best].Sub(j.need)
-			n--
 		}
-		if n > 0 {
-			rest = append(rest, unfit{j, n})
+		c := all[best]
+		for _, r := range c.runs {
+			slog.Info("preempting", "job", r.key.job, "task", r.key.task, "for", j.id, "machine", r.m.block.Machine)
+			if !r.sent {
+				s.drop(r)
+				continue
+			}
+			r.halt, r.mercy = true, r.job.spec.SaveTake
 		}
+		// One task a machine in a plan: what else could be stopped there is
+		// weighed anew by the next.
+		all = slices.Delete(all, best, best+1)
 	}
-	return rest
+	return n
+}
+
+// cheapest finds what to stop on one machine.
+func (s *shard) cheapest(j *job, m *machine, p *planner, now time.Time) stoppable {
+	c := stoppable{m: m}
+	runs, victims := s.victims(j, m, p, now)
+	if len(runs) == 0 {
+		return c
+	}
+	idx, loss := placement.Preempt(m.free(), j.need, victims)
+	c.loss = loss
+	for _, k := range idx {
+		c.runs = append(c.runs, runs[k])
+	}
+	return c
 }
 
 // eager tells whether a job is to be served at others' cost: one within its
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -36,8 +36,8 @@
 			cores += m.size[0]
 		}
 	}
-	for _, k := range s.coming {
-		cores += p.size(k.Breed)[0]
+	for _, w := range s.coming {
+		cores += float64(w.Count) * p.size(w.Kind.Breed)[0]
 	}
 	var out []*job
 	for from := 0; from < len(jobs); {
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -46,6 +46,7 @@
 	savedT time.Time
 	saving bool
 	runs   map[int]*run
+	placed int // how many of runs are not in done
 	again  []int
 	next   int
 	// unsure jobs may have tasks running that nobody has reported yet: they
@@ -66,14 +67,13 @@
 func (j *job) complete() bool { return j.done.Len() >= j.spec.Tasks }
 
 // waiting counts tasks that are neither done nor placed.
-func (j *job) waiting() int {
-	n := j.spec.Tasks - j.done.Len()
-	for t := range j.runs {
-		if !j.done.Has(t) {
-			n--
-		}
+func (j *job) waiting() int { return j.spec.Tasks - j.done.Len() - j.placed }
+
+// finish notes that a task is done.
+func (j *job) finish(task int) {
+	if j.done.Add(task) && j.runs[task] != nil {
+		j.placed--
 	}
-	return n
 }
 
 // take returns a waiting task, or -1.
@@ -140,20 +140,25 @@
 	stamp    uint64
 	since    time.Time
 	machines map[string]*machine
+	list     []*machine // machines by name; nil: to be sorted anew
+	queue    []*job     // jobs with tasks to start, in the order of the last plan
 	jobs     map[string]*job
 	shares   map[string]storage.Amount
 	used     map[string]storage.Amount
 	settled  bool
 	tries    uint64
 	// what the leader last said
-	coming    []kind
+	coming    []rentWant
 	comingVer uint64
 	// what this controller wants of the leader
-	rent   []rentWant
-	wanted map[string]storage.Amount
-	fits   []kind
-	writes bool // a grant write is under way
-	freed  bool // room has come free since tasks were last placed
+	rent    []rentWant
+	wanted  map[string]storage.Amount
+	fits    []kind
+	writes  bool   // a grant write is under way
+	wrote   uint64 // revision of the last one that succeeded
+	wroteAt time.Time
+	freed   bool // room has come free since tasks were last placed
+	news    bool // something has come up that a plan or a write should not wait for
 	// unread jobs have a record that can't be read: they are left alone.
 	unread map[string]bool
 }
@@ -186,6 +191,7 @@
 	if s.shares == nil {
 		s.shares = map[string]storage.Amount{}
 	}
+	s.list = nil
 	have := map[string]bool{}
 	for _, b := range g.Blocks {
 		have[b.Machine] = true
@@ -224,10 +230,19 @@
 	// A record older than the lease may belong to tasks that the former
 	// holder started.
 	j.unsure = j.stamp <= s.stamp && !s.settled
-	j.runs = map[int]*run{}
+	j.runs, j.placed = map[int]*run{}, 0
 	s.jobs[j.id] = j
 }
 
+// awaited counts the machines on their way to the shard.
+func (s *shard) awaited() int {
+	n := 0
+	for _, w := range s.coming {
+		n += w.Count
+	}
+	return n
+}
+
 // endJob marks a job whose record is gone; what still runs must go.
 func (s *shard) endJob(id string) {
 	j := s.jobs[id]
@@ -258,6 +273,9 @@
 	r.m.runs[r.key] = r
 	r.m.used = r.m.used.Add(r.job.need)
 	r.m.images[r.job.spec.Image] = true
+	if r.job.runs[r.key.task] == nil && !r.job.done.Has(r.key.task) {
+		r.job.placed++
+	}
 	r.job.runs[r.key.task] = r
 	u := s.used[r.job.spec.Team]
 	u.Cores += r.job.need[0]
@@ -275,6 +293,9 @@
 	r.m.used = r.m.used.Sub(r.job.need)
 	if r.job.runs[r.key.task] == r {
 		delete(r.job.runs, r.key.task)
+		if !r.job.done.Has(r.key.task) {
+			r.job.placed--
+		}
 	}
 	if !r.job.done.Has(r.key.task) {
 		r.job.again = append(r.job.again, r.key.task)
@@ -315,7 +336,7 @@
 			return
 		}
 	}
-	s.settled = true
+	s.settled, s.news = true, true
 	for _, j := range s.jobs {
 		j.unsure = false
 	}
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -12,29 +12,35 @@
 	"reedtrack/internal/storage"
 )
 
-// wake runs the tick loop soon.
+// wake runs the loops soon that plan, write and lead.
 func (n *Node) wake() {
-	select {
-	case n.kick <- struct{}{}:
-	default:
+	for _, kick := range []chan struct{}{n.kick, n.kickWrite, n.kickLead} {
+		select {
+		case kick <- struct{}{}:
+		default:
+		}
 	}
 }
 
-// tickLoop plans, writes and leads.
-func (n *Node) tickLoop(ctx context.Context) {
+// every runs f when woken, and four times a second. A burst of wakes is
+// gathered, and f gets at most a tenth of the time that its turns take: on a
+// share of a processor it would otherwise crowd out the answers to workers.
+func every(ctx context.Context, kick <-chan struct{}, f func(context.Context) time.Duration) {
+	const gather, period = 20 * time.Millisecond, 250 * time.Millisecond
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
-		case <-n.kick:
-			sleep(ctx, 20*time.Millisecond) // let a burst gather
-		case <-time.After(250 * time.Millisecond):
+		case <-kick:
+			sleep(ctx, gather)
+		case <-time.After(period):
 		}
-		n.tick(ctx)
+		sleep(ctx, min(9*f(ctx), 2*period))
 	}
 }
 
-func (n *Node) tick(ctx context.Context) {
+// tick plans; it returns how long that took.
+func (n *Node) tick(ctx context.Context) time.Duration {
 	now := n.now()
 	n.mu.Lock()
 	acts := n.valid(now)
@@ -48,13 +54,21 @@
 	}
 	if !acts {
 		n.mu.Unlock()
-		return
+		return 0
 	}
+	start := time.Now()
 	n.holdShards()
 	n.markWithin()
 	p := n.planner(now)
-	var halts []int
+	// What weighs everything against everything takes effect with the
+	// workers' reports: a few times in each of their rounds is enough.
+	thorough := now.Sub(n.weighed) >= p.report/4
+	if thorough {
+		n.weighed = now
+	}
+	halts := map[int]bool{}
 	for i, s := range n.shards {
+		s.news = false
 		for id := range n.gone {
 			if m := s.machines[id]; m != nil && !m.gone {
 				slog.Info("machine is gone", "machine", id)
@@ -63,8 +77,10 @@
 			}
 		}
 		s.silent(now, n.timing.WorkerGone)
-		s.slowness(now)
-		s.plan(p, now)
+		if thorough {
+			s.slowness(now)
+		}
+		s.plan(p, thorough, now)
 		s.giveBack(now, n.timing.WorkerGone, n.idle)
 		for _, m := range s.machines {
 			if m.bad || m.slow {
@@ -72,19 +88,30 @@
 			}
 			for _, r := range m.runs {
 				if r.halt && r.sent && r.haltOut.IsZero() {
-					halts = append(halts, i)
+					halts[i] = true
 				}
 			}
 		}
 	}
 	clear(n.gone)
+	took := time.Since(start)
 	n.mu.Unlock()
-	for _, i := range halts[:min(len(halts), 1)] {
+	for i := range halts {
 		n.sendHalts(i)
 	}
-	n.flush(ctx)
-	n.writeGrants(ctx)
-	n.leadTick(ctx)
+	return took
+}
+
+// write brings the records of this controller's shards up to date.
+func (n *Node) write(ctx context.Context) time.Duration {
+	n.mu.Lock()
+	acts := n.valid(n.now())
+	n.mu.Unlock()
+	if acts {
+		n.flush(ctx)
+		n.writeGrants(ctx)
+	}
+	return 0
 }
 
 func (n *Node) planner(now time.Time) *planner {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -43,7 +43,10 @@
 	}
 	n.mu.Lock()
 	never := n.canRun(j)
-	shard := n.shardFor()
+	shard := 0
+	if never == nil {
+		shard = n.shardFor(j, now)
+	}
 	n.mu.Unlock()
 	if never != nil {
 		// A job that was accepted is never refused, even should the catalog
@@ -54,7 +57,7 @@
 		return st, false, never
 	}
 	rec := storage.Job{Spec: *j, Shard: shard, AtMS: now.UnixMilli()}
-	_, err = n.state.Multi(ctx, protocol.Txn{
+	_, err = n.state.MultiSoon(ctx, protocol.Txn{
 		When:   []protocol.Cond{{Path: storage.JobKey(j.ID)}, {Path: storage.EndedKey(j.ID)}},
 		Writes: []protocol.Write{{Put: storage.JobKey(j.ID), Data: rec}}})
 	switch {
@@ -97,24 +100,6 @@
 	return nil
 }
 
-// shardFor picks the shard of a new job: the first that has not been filled,
-// or else the one with the fewest machines. Work that one controller can serve
-// stays together, since machines that are split among shards are left partly
-// empty in each.
-func (n *Node) shardFor() int {
-	best := 0
-	for i := range n.op.Shards {
-		have := len(n.grantRecs[i].v.Blocks)
-		if have < n.op.Fill {
-			return i
-		}
-		if have < len(n.grantRecs[best].v.Blocks) {
-			best = i
-		}
-	}
-	return best
-}
-
 func endStatus(id string, e storage.End) protocol.JobStatus {
 	return protocol.JobStatus{ID: id, Status: e.Status, Done: e.Done}
 }
@@ -217,7 +202,7 @@
 		}
 		done, _ := storage.ParseSet(rec.rec.Done, rec.rec.Spec.Tasks)
 		w := storage.End{Status: protocol.Withdrawn, Done: done.Len()}
-		_, err = n.state.Multi(ctx, protocol.Txn{When: []protocol.Cond{{Path: storage.JobKey(id), Stamp: rec.stamp}},
+		_, err = n.state.MultiSoon(ctx, protocol.Txn{When: []protocol.Cond{{Path: storage.JobKey(id), Stamp: rec.stamp}},
 			Writes: []protocol.Write{{Delete: storage.JobKey(id)}, {Put: storage.EndedKey(id), Data: w}}})
 		if err == nil {
 			n.mu.Lock()
--- a/internal/coordination/wanted.go
+++ b/internal/coordination/wanted.go
@@ -17,13 +17,12 @@
 		free, size placement.Vector
 		fresh      bool
 	}
-	size := map[string]placement.Vector{}
-	for _, b := range p.breeds {
-		size[b.Name] = sizeOf(b)
-	}
-	var bins []*bin
-	for _, k := range s.coming {
-		bins = append(bins, &bin{k, size[k.Breed], size[k.Breed], false})
+	var bins []bin
+	for _, w := range s.coming {
+		size := p.size(w.Kind.Breed)
+		for range w.Count {
+			bins = append(bins, bin{w.Kind, size, size, false})
+		}
 	}
 	s.fits = s.fits[:0]
 	for _, u := range left {
@@ -34,20 +33,25 @@
 				s.fits = append(s.fits, k)
 			}
 		}
+		best, ok := s.bestKind(j, kinds, p)
+		pick := p.params.Picker(j.need)
+		for i, b := range bins {
+			if b.free.Fits(j.need) && j.allows(b.k.Breed, b.k.Zone, b.k.Spot) {
+				pick.Offer(i, b.free, b.size, 0)
+			}
+		}
 		for range u.count {
-			i := p.params.Best(len(bins), func(i int) (placement.Vector, placement.Vector, bool) {
-				b := bins[i]
-				ok := b.free.Fits(j.need) && j.allows(b.k.Breed, b.k.Zone, b.k.Spot)
-				return b.free.Sub(j.need), b.size, ok
-			})
+			i := pick.Best()
 			if i < 0 {
-				k, ok := s.bestKind(j, kinds, p, size)
 				if !ok {
 					break
 				}
-				bins = append(bins, &bin{k, size[k.Breed], size[k.Breed], true})
-				i = len(bins) - 1
+				i = len(bins)
+				size := p.size(best.Breed)
+				bins = append(bins, bin{best, size, size, true})
+				pick.Offer(i, size, size, 0)
 			}
+			pick.Take()
 			bins[i].free = bins[i].free.Sub(j.need)
 		}
 	}
@@ -61,11 +65,22 @@
 	for k, n := range count {
 		s.rent = append(s.rent, rentWant{k, n})
 	}
-	slices.SortFunc(s.rent, func(a, b rentWant) int {
-		return cmp.Or(cmp.Compare(a.Kind.Breed, b.Kind.Breed), cmp.Compare(a.Kind.Zone, b.Kind.Zone))
+	sortWants(s.rent)
+}
+
+func sortWants(w []rentWant) {
+	slices.SortFunc(w, func(a, b rentWant) int {
+		return cmp.Or(cmp.Compare(a.Kind.Breed, b.Kind.Breed), cmp.Compare(a.Kind.Zone, b.Kind.Zone), cmp.Compare(btoi(a.Kind.Spot), btoi(b.Kind.Spot)))
 	})
 }
 
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // kinds lists the machines on which a job's tasks may run, in catalog order.
 func (j *job) kinds(p *planner) []kind {
 	var out []kind
@@ -97,7 +112,7 @@
 
 // bestKind picks what to rent: spot machines where any can be had, and among
 // those the best-scoring type, in the zone with the fewest of ours.
-func (s *shard) bestKind(j *job, kinds []kind, p *planner, size map[string]placement.Vector) (kind, bool) {
+func (s *shard) bestKind(j *job, kinds []kind, p *planner) (kind, bool) {
 	var can []kind
 	for _, spot := range []bool{true, false} {
 		for _, k := range kinds {
@@ -116,12 +131,12 @@
 	for _, m := range s.machines {
 		inZone[m.block.Zone]++
 	}
-	for _, k := range s.coming {
-		inZone[k.Zone]++
+	for _, w := range s.coming {
+		inZone[w.Kind.Zone] += w.Count
 	}
 	slices.SortStableFunc(can, func(a, b kind) int { return inZone[a.Zone] - inZone[b.Zone] })
 	i := p.params.Best(len(can), func(i int) (placement.Vector, placement.Vector, bool) {
-		v := size[can[i].Breed]
+		v := p.size(can[i].Breed)
 		return v.Sub(j.need), v, true
 	})
 	return can[i], true
--- a/internal/placement/model_test.go
+++ b/internal/placement/model_test.go
@@ -110,3 +110,50 @@
 		}
 	})
 }
+
+// A Picker against Best, asked anew for every task.
+func TestPicker(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 8).Draw(t, "n")
+		size, free, tie := make([]Vector, n), make([]Vector, n), make([]int, n)
+		for i := range n {
+			size[i] = Vector{float64(rapid.IntRange(1, 16).Draw(t, "c")), 0, float64(rapid.IntRange(1, 32).Draw(t, "m"))}
+			for d := range 3 {
+				free[i][d] = float64(rapid.IntRange(0, int(size[i][d])).Draw(t, "f"))
+			}
+			tie[i] = rapid.IntRange(0, 2).Draw(t, "tie")
+		}
+		need := Vector{float64(rapid.IntRange(1, 4).Draw(t, "nc")), 0, float64(rapid.IntRange(0, 4).Draw(t, "nm"))}
+		pick := paper.Picker(need)
+		for i := range n {
+			pick.Offer(i, free[i], size[i], tie[i])
+		}
+		// Best decides equal scores by the order of its candidates.
+		byTie := make([]int, 0, n)
+		for r := range 3 {
+			for i := range n {
+				if tie[i] == r {
+					byTie = append(byTie, i)
+				}
+			}
+		}
+		for {
+			want := paper.Best(n, func(i int) (Vector, Vector, bool) {
+				i = byTie[i]
+				return free[i].Sub(need), size[i], free[i].Fits(need)
+			})
+			if want >= 0 {
+				want = byTie[want]
+			}
+			got := pick.Best()
+			if got != want {
+				t.Fatalf("picked %d, best is %d", got, want)
+			}
+			if want < 0 {
+				return
+			}
+			free[want] = free[want].Sub(need)
+			pick.Take()
+		}
+	})
+}
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -22,14 +22,15 @@
 var (
 	ErrConflict = errors.New("state service: a condition does not hold")
 	ErrRefused  = errors.New("state service: not executed")
+	ErrBudget   = fmt.Errorf("%w: no budget left", ErrRefused)
 	ErrUnknown  = errors.New("state service: no answer")
 	ErrNoLease  = errors.New("state service: lease is gone")
 	ErrNotFound = errors.New("state service: no such key")
 	ErrTooOld   = errors.New("state service: log no longer kept")
 )
 
-// Client talks to the state service. Renewals and watches pass the request
-// limiter by, so that other work never costs a lease.
+// Client talks to the state service. Renewals and watches pass the limiters
+// by, so that other work never costs a lease.
 type Client struct {
 	base     string
 	http     *transport.Client
@@ -37,8 +38,16 @@
 	renew    *transport.Client
 	requests *rate.Limiter
 	changes  *rate.Limiter
+	writes   float64 // of one part of the service's writes, see Lead
 }
 
+// watchPart is the part of the service's requests that is left to watches and
+// renewals.
+const watchPart = 0.3
+
+// leaderParts is how many controllers' worth of writes the leader gets.
+const leaderParts = 3
+
 // NewClient returns a client that uses at most a share of the service's limits.
 func NewClient(addr string, rps, writeRPS float64, nodes int) *Client {
 	c := NewClientOver(nil, rps, writeRPS, nodes)
@@ -51,14 +60,40 @@
 
 // NewClientOver returns a client over a round tripper of the caller's own.
 func NewClientOver(rt http.RoundTripper, rps, writeRPS float64, nodes int) *Client {
-	share := func(v float64) *rate.Limiter {
-		v = v / float64(nodes) * 0.9
-		return rate.NewLimiter(rate.Limit(v), max(1, int(v)))
-	}
-	return &Client{base: "http://state", requests: share(rps), changes: share(writeRPS),
+	c := &Client{base: "http://state", writes: 0.9 * writeRPS / float64(nodes-1+leaderParts),
 		http:  transport.NewClientOver(rt, 2*time.Second),
 		watch: transport.NewClientOver(rt, time.Minute),
 		renew: transport.NewClientOver(rt, time.Second)}
+	c.requests = limiter((1 - watchPart) * rps / float64(nodes))
+	c.changes = limiter(c.writes)
+	return c
+}
+
+func limiter(v float64) *rate.Limiter { return rate.NewLimiter(rate.Limit(v), max(1, int(v))) }
+
+// WatchRest is how long each of so many controllers rests between two watches,
+// so that together they keep within their part of the service's requests
+// however often something changes.
+func WatchRest(rps float64, nodes int) time.Duration {
+	return time.Duration(float64(nodes) / (watchPart * 0.8 * rps) * float64(time.Second))
+}
+
+// Lead gives the client the leader's part of the writes, or the others'.
+func (c *Client) Lead(leads bool) {
+	parts := 1.0
+	if leads {
+		parts = leaderParts
+	}
+	if v := rate.Limit(parts * c.writes); c.changes.Limit() != v {
+		c.changes.SetLimit(v)
+		c.changes.SetBurst(max(1, int(v)))
+	}
+}
+
+// Spare is how many writes may be made now that can as well wait, while half
+// of what is had stays for those that can't.
+func (c *Client) Spare() int {
+	return max(0, int(c.changes.Tokens()-float64(c.changes.Burst())/2))
 }
 
 func outcome(err error) error {
@@ -85,11 +120,39 @@
 	return fmt.Errorf("state service: %w", se)
 }
 
+// budget takes what a request costs, if that is to be had within a time that
+// the caller can wait; otherwise it says so at once.
+func (c *Client) budget(ctx context.Context, writes int, most time.Duration) error {
+	now := time.Now()
+	wait := time.Duration(0)
+	taken := []*rate.Reservation{c.requests.ReserveN(now, 1)}
+	if writes > 0 {
+		taken = append(taken, c.changes.ReserveN(now, min(writes, c.changes.Burst())))
+	}
+	for _, r := range taken {
+		wait = max(wait, r.DelayFrom(now))
+	}
+	if wait > most {
+		for _, r := range taken {
+			r.CancelAt(now)
+		}
+		return ErrBudget
+	}
+	if wait > 0 {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %v", ErrRefused, ctx.Err())
+		case <-time.After(wait):
+		}
+	}
+	return nil
+}
+
 // Get reads a key.
 func (c *Client) Get(ctx context.Context, path string) (protocol.Item, error) {
 	var it protocol.Item
-	if !c.requests.Allow() {
-		return it, ErrRefused
+	if err := c.budget(ctx, 0, soon); err != nil {
+		return it, err
 	}
 	err := c.http.Do(ctx, http.MethodGet, c.base+"/keys/"+path, nil, &it)
 	return it, outcome(err)
@@ -106,14 +169,26 @@
 	return page, outcome(err)
 }
 
+// soon is how long a user's request may wait for its part of the budget. What
+// would have to wait longer is refused at once.
+const soon = 250 * time.Millisecond
+
 // Multi carries out a transaction and returns its revision.
 func (c *Client) Multi(ctx context.Context, t protocol.Txn) (uint64, error) {
+	return c.multi(ctx, t, 0)
+}
+
+// MultiSoon is Multi for a user who waits for the answer.
+func (c *Client) MultiSoon(ctx context.Context, t protocol.Txn) (uint64, error) {
+	return c.multi(ctx, t, soon)
+}
+
+func (c *Client) multi(ctx context.Context, t protocol.Txn, wait time.Duration) (uint64, error) {
 	if t.When == nil {
 		t.When = []protocol.Cond{}
 	}
-	now := time.Now()
-	if !c.requests.AllowN(now, 1) || !c.changes.AllowN(now, max(1, len(t.Writes))) {
-		return 0, ErrRefused
+	if err := c.budget(ctx, max(1, len(t.Writes)), wait); err != nil {
+		return 0, err
 	}
 	var res protocol.TxnResult
 	if err := c.http.Do(ctx, http.MethodPost, c.base+"/multi", t, &res); err != nil {
--- /dev/null
+++ b/internal/storage/grant_test.go
@@ -0,0 +1,52 @@
+package storage
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+)
+
+// A grant comes back as it was written, and one more block adds no more than
+// BlockBytes says.
+func TestGrant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		block := rapid.Custom(func(t *rapid.T) Block {
+			return Block{Machine: fmt.Sprintf("host-%06d", rapid.IntRange(0, 999999).Draw(t, "m")),
+				Breed: rapid.SampledFrom([]string{"small", "big"}).Draw(t, "b"), Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "z"),
+				Spot: rapid.Bool().Draw(t, "s"), Term: rapid.Uint64().Draw(t, "t"), AtMS: rapid.Int64Range(1.7e12, 1.8e12).Draw(t, "at")}
+		})
+		g := Grant{Blocks: rapid.SliceOf(block).Draw(t, "blocks"), Shares: map[string]Amount{"red": {Cores: 3.5}}}
+		raw, err := json.Marshal(g)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Grant
+		if err := json.Unmarshal(raw, &back); err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(g, back, cmpopts.EquateEmpty()); d != "" {
+			t.Fatal(d)
+		}
+		if len(g.Blocks) == 0 {
+			return
+		}
+		more := g
+		next := g.Blocks[0]
+		next.Machine, next.Term = "host-1000000", block.Draw(t, "next").Term
+		more.Blocks = append(more.Blocks[:len(more.Blocks):len(more.Blocks)], next)
+		longer, err := json.Marshal(more)
+		if err != nil || len(longer)-len(raw) > BlockBytes(next.Machine) {
+			t.Fatalf("one more block adds %d bytes, bounded by %d: %v", len(longer)-len(raw), BlockBytes(next.Machine), err)
+		}
+	})
+	for _, bad := range []string{`{"blocks":[{"m":"a"}]}`, `{"blocks":{"m":["a"]}}`, `{"blocks":{"m":["a"],"k":[1],"t":[1],"at":[0]}}`} {
+		var g Grant
+		if json.Unmarshal([]byte(bad), &g) == nil {
+			t.Errorf("%s was read", bad)
+		}
+	}
+}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -67,24 +67,6 @@
 	Cards float64 `json:"g,omitempty"`
 }
 
-// Block is a machine leased to a shard; its term is never below that of any
-// earlier holder.
-type Block struct {
-	Machine string `json:"m"`
-	Breed   string `json:"b"`
-	Zone    string `json:"z"`
-	Spot    bool   `json:"s,omitempty"`
-	Term    uint64 `json:"t"`
-	AtMS    int64  `json:"at,omitempty"` // time of day of the grant
-}
-
-// Grant is what a shard has been given: its blocks and its shares of the
-// teams' limits.
-type Grant struct {
-	Blocks []Block           `json:"blocks"`
-	Shares map[string]Amount `json:"shares"`
-}
-
 // Job is an accepted job that has not ended.
 type Job struct {
 	Spec  protocol.Job `json:"spec"`
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -18,6 +18,7 @@
 	// sent: all changes made before then have been applied.
 	Synced func(sent time.Time)
 	Poll   time.Duration
+	Rest   time.Duration // between two watches
 	known  map[string]uint64
 }
 
@@ -100,6 +101,11 @@
 		}
 	}
 	r.Synced(sent)
+	if len(ch.Log) > 0 {
+		// In a busy deployment something changes all the time: without a rest
+		// the watches of all controllers alone would use up the service.
+		pause(ctx, r.Rest)
+	}
 	return ch.Ledger, nil
 }
 
