Give a job to the shard with most room, not with least to do

Ruled out: the processor (20 percent of the share). Submissions waited for their part of the write budget or were refused for it; they now wait up to a second, which is less than a retry.

--- a/internal/coordination/division.go
+++ b/internal/coordination/division.go
@@ -46,14 +46,21 @@
 	return l
 }
 
-// loads sums what every shard's jobs still ask for, in machines. What a team
-// asks for beyond its limit does not count: no machine will run it.
-func (n *Node) loads(now time.Time) (byShard []float64, total float64) {
-	byShard = make([]float64, n.op.Shards)
+// loads sums what the jobs still ask for: in all, in machines, and of every
+// shard, in processors that its machines lack (below 0: that they have to
+// spare). What a team asks for beyond its limit does not count in all: no
+// machine will run it.
+func (n *Node) loads(now time.Time) (lack []float64, total float64) {
+	lack = make([]float64, n.op.Shards)
+	for i := range lack {
+		for _, b := range n.grantRecs[i].v.Blocks {
+			lack[i] -= n.sizes[b.Breed][0]
+		}
+	}
 	teams := map[string]load{}
 	add := func(shard int, l load) {
-		if shard < len(byShard) {
-			byShard[shard] += l.machines
+		if shard < len(lack) {
+			lack[shard] += l.cores
 		}
 		t := teams[l.team]
 		t.cores += l.cores
@@ -76,16 +83,16 @@
 		}
 		total += t.machines
 	}
-	return byShard, total
+	return lack, total
 }
 
 // shardFor picks the shard of a new job. As many shards are open as it takes
 // for each to have no more machines than one controller can serve; work that
 // one can serve stays together, since machines that are split among shards are
-// left partly empty in each. Of the open ones that with the least to do gets
-// the job.
+// left partly empty in each. Of the open ones that gets the job whose machines
+// lack least, or have most to spare.
 func (n *Node) shardFor(j *protocol.Job, now time.Time) int {
-	byShard, need := n.loads(now)
+	lack, need := n.loads(now)
 	mine := n.loadOf(j, j.Tasks)
 	need += mine.machines
 	blocks := float64(len(n.owner))
@@ -98,7 +105,7 @@
 	// Controllers that know of no difference begin with different shards.
 	best := n.number % open
 	for k := range open {
-		if i := (n.number + k) % open; byShard[i] < byShard[best] {
+		if i := (n.number + k) % open; lack[i] < lack[best] {
 			best = i
 		}
 	}
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -171,7 +171,7 @@
 
 // soon is how long a user's request may wait for its part of the budget. What
 // would have to wait longer is refused at once.
-const soon = 250 * time.Millisecond
+const soon = time.Second
 
 // Multi carries out a transaction and returns its revision.
 func (c *Client) Multi(ctx context.Context, t protocol.Txn) (uint64, error) {
