Move jobs of which nothing is placed to shards that come to them sooner

Of 15,000 tries to give back, nearly all were refused for lack of write budget: shares of limits went back and forth with every task's end, so ends and submissions waited too.

New jobs go by the same measure once the cloud has no more. A shard keeps an equal part among the shards that want a team's room, gives it back in steps, and writes its grant twice a second at most. Ends wait for budget like submissions. A load of the records counts only with the log since its first page. fill-machines assumes 1 ms a report, not 2: the processor was a fifth used. A successor is the one with fewest machines.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	op := s.Defaults()
-	if op.HolderLease != 8*time.Second || op.Fill != 75 || op.Shards != 2 {
+	if op.HolderLease != 8*time.Second || op.Fill != 150 || op.Shards != 2 {
 		t.Errorf("derived %+v", op)
 	}
 	if tm := s.Timing(op); tm.Act >= op.HolderLease || tm.WorkerGone <= 20*time.Second {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -67,7 +67,7 @@
 
 // reportCost is the processor time that a worker's report takes a controller,
 // planning included, as profiled on a busy day.
-const reportCost = 2 * time.Millisecond
+const reportCost = 1 * time.Millisecond
 
 // fill is how many machines one controller can serve with half its share of
 // the processor.
--- a/internal/coordination/division.go
+++ b/internal/coordination/division.go
@@ -46,26 +46,40 @@
 	return l
 }
 
-// loads sums what the jobs still ask for: in all, in machines, and of every
-// shard, in processors that its machines lack (below 0: that they have to
-// spare). What a team asks for beyond its limit does not count in all: no
-// machine will run it.
-func (n *Node) loads(now time.Time) (lack []float64, total float64) {
-	lack = make([]float64, n.op.Shards)
-	for i := range lack {
+// loads is what all jobs still ask for.
+type loads struct {
+	shards   []shardLoad
+	machines float64
+}
+
+// loads sums what the jobs still ask for. What a team asks for beyond its
+// limit does not count in machines: none will run it.
+func (n *Node) loads(now time.Time) loads {
+	l := loads{shards: make([]shardLoad, n.op.Shards)}
+	for i := range l.shards {
 		for _, b := range n.grantRecs[i].v.Blocks {
-			lack[i] -= n.sizes[b.Breed][0]
+			l.shards[i].have += n.sizes[b.Breed][0]
 		}
 	}
+	for _, o := range n.others {
+		for _, s := range o.Shards {
+			if n.shards[s.Index] == nil && s.Index < len(l.shards) && s.Term == n.shardRecs[s.Index].v.Term {
+				l.shards[s.Index].have += s.Booting
+			}
+		}
+	}
+	for i, s := range n.shards {
+		l.shards[i].have += n.booting(s)
+	}
 	teams := map[string]load{}
-	add := func(shard int, l load) {
-		if shard < len(lack) {
-			lack[shard] += l.cores
+	add := func(shard int, x load) {
+		if shard < len(l.shards) {
+			l.shards[shard].cores += x.cores
 		}
-		t := teams[l.team]
-		t.cores += l.cores
-		t.machines += l.machines
-		teams[l.team] = t
+		t := teams[x.team]
+		t.cores += x.cores
+		t.machines += x.machines
+		teams[x.team] = t
 	}
 	for _, jr := range n.jobs {
 		add(jr.rec.Shard, n.loadOf(&jr.rec.Spec, jr.rec.Spec.Tasks-jr.done))
@@ -81,23 +95,32 @@
 		if limit := n.teams[name].limit.Cores; limit > 0 && t.cores > limit {
 			t.machines *= limit / t.cores
 		}
-		total += t.machines
+		l.machines += t.machines
+	}
+	return l
+}
+
+// booting sums the processors of the machines on their way to a shard.
+func (n *Node) booting(s *shard) float64 {
+	cores := 0.0
+	for _, w := range s.coming {
+		cores += float64(w.Count) * n.sizes[w.Kind.Breed][0]
 	}
-	return lack, total
+	return cores
 }
 
 // shardFor picks the shard of a new job. As many shards are open as it takes
 // for each to have no more machines than one controller can serve; work that
 // one can serve stays together, since machines that are split among shards are
 // left partly empty in each. Of the open ones that gets the job whose machines
-// lack least, or have most to spare.
+// lack least, or, when no more are to be had, will get round to it first.
 func (n *Node) shardFor(j *protocol.Job, now time.Time) int {
-	lack, need := n.loads(now)
+	l := n.loads(now)
 	mine := n.loadOf(j, j.Tasks)
-	need += mine.machines
+	need := l.machines + mine.machines
 	blocks := float64(len(n.owner))
-	if n.exhausted(j) {
-		// No more machines are to be had, whatever is asked for.
+	none := n.exhausted(j)
+	if none {
 		need = 0
 	}
 	open := int(math.Ceil(max(need, blocks) / float64(n.op.Fill)))
@@ -105,7 +128,7 @@
 	// Controllers that know of no difference begin with different shards.
 	best := n.number % open
 	for k := range open {
-		if i := (n.number + k) % open; lack[i] < lack[best] {
+		if i := (n.number + k) % open; lessLack(l.shards[i], l.shards[best], mine.cores, none) < 0 {
 			best = i
 		}
 	}
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -172,6 +172,11 @@
 		return err
 	}
 	jr.done = done.Len()
+	if was := n.jobs[id]; was != nil && was.rec.Shard != jr.rec.Shard {
+		if s := n.shards[was.rec.Shard]; s != nil {
+			s.endJob(id) // moved: nothing of it is placed
+		}
+	}
 	n.jobs[id] = jr
 	if s := n.shards[jr.rec.Shard]; s != nil {
 		s.addJob(n.newJob(jr))
--- a/internal/coordination/giveback.go
+++ b/internal/coordination/giveback.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -29,6 +30,9 @@
 // it is no longer waited for.
 const unseen = time.Second
 
+// giveBackEvery is how often a shard's grant is written by its holder.
+const giveBackEvery = 500 * time.Millisecond
+
 // writeGrants writes the grants of this controller's shards without the blocks
 // and the shares that are given back.
 func (n *Node) writeGrants(ctx context.Context) {
@@ -44,7 +48,9 @@
 		g, ok := n.grantRecs[i]
 		// A write that has succeeded is first seen in the record: another
 		// one before then would only fail.
-		if !ok || s.writes || g.stamp < s.wrote && now.Sub(s.wroteAt) < unseen {
+		// And they are gathered: with hundreds of machines something could be
+		// given back all the time, and job records have to be written too.
+		if !ok || s.writes || g.stamp < s.wrote && now.Sub(s.wroteAt) < unseen || now.Sub(s.triedAt) < giveBackEvery {
 			continue
 		}
 		short := n.shortTeams(i)
@@ -62,8 +68,12 @@
 		for t, share := range g.v.Shares {
 			if short[t] {
 				keep := n.keepShare(s, t, share, unknown)
-				lowered = lowered || keep != share
-				share = keep
+				// Little by little is not worth a write each.
+				step := n.teams[t].limit.Cores / float64(16*n.op.Shards)
+				if share.Cores-keep.Cores > step || share.Cards > keep.Cards || keep.Cores == 0 && share.Cores > 0 {
+					lowered = true
+					share = keep
+				}
 			}
 			next.Shares[t] = least(share, s.shares[t])
 		}
@@ -75,7 +85,7 @@
 		// it: the earlier one may still be applied, and the room be granted
 		// to another. Only a newer record does.
 		s.shares = next.Shares
-		s.writes = true
+		s.writes, s.triedAt = true, now
 		changes = append(changes, change{s, protocol.Txn{
 			When:   []protocol.Cond{{Path: storage.ShardKey(i), Stamp: s.stamp}, {Path: storage.GrantKey(i), Stamp: g.stamp}},
 			Writes: []protocol.Write{{Put: storage.GrantKey(i), Data: next}}}, out})
@@ -89,7 +99,11 @@
 			c.s.wrote, c.s.wroteAt = rev, n.now()
 		}
 		n.mu.Unlock()
-		slog.Info("gave back", "shard", c.s.index, "blocks", c.out, "err", err)
+		if errors.Is(err, storage.ErrBudget) || errors.Is(err, storage.ErrConflict) {
+			slog.Debug("not given back", "shard", c.s.index, "err", err)
+		} else {
+			slog.Info("gave back", "shard", c.s.index, "blocks", c.out, "err", err)
+		}
 	}
 }
 
@@ -98,16 +112,38 @@
 }
 
 // keepShare is what a shard keeps of a team's limit while another shard is
-// short: what it uses or wants, the latter up to an equal part.
+// short: what it uses or wants, the latter up to an equal part among the
+// shards that want any.
 func (n *Node) keepShare(s *shard, team string, share, unknown storage.Amount) storage.Amount {
 	limit, used, want := n.teams[team].limit, s.used[team], s.wanted[team]
+	parts := float64(n.wanting(team, s.index))
 	keep := func(share, used, unknown, want, limit float64) float64 {
-		return min(share, max(used+unknown, min(want, limit/float64(n.op.Shards))))
+		return min(share, max(used+unknown, min(want, limit/parts)))
 	}
 	return storage.Amount{Cores: keep(share.Cores, used.Cores, unknown.Cores, want.Cores, limit.Cores),
 		Cards: keep(share.Cards, used.Cards, unknown.Cards, want.Cards, limit.Cards)}
 }
 
+// wanting counts the shards that want a part of a team's limit, with the one
+// that asks.
+func (n *Node) wanting(team string, me int) int {
+	some := map[int]bool{me: true}
+	look := func(i int, w storage.Amount) {
+		if w.Cores > 0 || w.Cards > 0 {
+			some[i] = true
+		}
+	}
+	for i, s := range n.shards {
+		look(i, s.wanted[team])
+	}
+	for _, o := range n.others {
+		for _, s := range o.Shards {
+			look(s.Index, s.Wanted[team])
+		}
+	}
+	return len(some)
+}
+
 // shortTeams lists the teams of which some shard other than one wants more
 // than its share. A shard that counted itself would give room back only to be
 // granted it anew, over and over.
--- a/internal/coordination/gossip.go
+++ b/internal/coordination/gossip.go
@@ -25,6 +25,7 @@
 	Term    uint64
 	Ver     uint64
 	Rent    []rentWant
+	Booting float64 // processors of the machines on their way
 	Fits    []kind
 	Used    map[string]storage.Amount
 	Wanted  map[string]storage.Amount
@@ -81,7 +82,7 @@
 		return st
 	}
 	for i, s := range n.shards {
-		ss := ShardStatus{Index: i, Term: s.term, Ver: s.comingVer, Rent: append([]rentWant(nil), s.rent...),
+		ss := ShardStatus{Index: i, Term: s.term, Ver: s.comingVer, Booting: n.booting(s), Rent: append([]rentWant(nil), s.rent...),
 			Fits: append([]kind(nil), s.fits...), Used: map[string]storage.Amount{},
 			Wanted: map[string]storage.Amount{}, Running: map[string]int{}}
 		for t, u := range s.used {
--- a/internal/coordination/grants.go
+++ b/internal/coordination/grants.go
@@ -78,14 +78,14 @@
 }
 
 // pickHolder chooses who gets a shard: its former holder if that is back,
-// otherwise the live controller with the fewest.
+// otherwise the live controller that has the fewest machines and shards.
 func (n *Node) pickHolder(former string) (storage.Node, bool) {
 	if a, ok := n.aliveNodes[former]; ok {
 		return a.v, true
 	}
 	held := map[string]int{}
-	for _, rec := range n.shardRecs {
-		held[rec.v.Holder.Name]++
+	for i, rec := range n.shardRecs {
+		held[rec.v.Holder.Name] += 1 + len(n.grantRecs[i].v.Blocks)
 	}
 	names := slices.SortedFunc(maps.Keys(n.aliveNodes), func(a, b string) int {
 		return cmp.Or(held[a]-held[b], cmp.Compare(a, b))
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"testing"
@@ -200,3 +201,53 @@
 		t.Errorf("a given back %v, usable %v; b given back %v", a.release, a.usable(), b.release)
 	}
 }
+
+// A job that is given to another shard rests until its record has changed: a
+// move that was not answered may be applied later, and would let both shards
+// start its tasks.
+func TestMovedJobRestsUntilKnown(t *testing.T) {
+	w := newWorld(1, nil)
+	answers := []error{errors.New("lost"), errors.New("lost")}
+	st := storage.NewClientOver(tripper(func(*http.Request) (*http.Response, error) {
+		err := answers[0]
+		answers = answers[1:]
+		return nil, err
+	}), 1000, 1000, 1)
+	n := New(w.set, w.set.Defaults(), st, nil, nil, nil)
+	n.setCatalog(simBreeds)
+	for i, at := range []int{1, 4} { // machines of the two shards
+		g := storage.Grant{}
+		for k := range at {
+			g.Blocks = append(g.Blocks, storage.Block{Machine: string(rune('a'+k)) + string(rune('0'+i)), Breed: "small", Zone: "a", Term: 2})
+		}
+		n.grantRecs[i] = entry[storage.Grant]{g, 5}
+	}
+	s := newShard(0, storage.Shard{Term: 1}, 1, time.Now())
+	s.settled = true
+	s.setGrant(n.grantRecs[0].v, n.size, time.Now())
+	n.shards[0] = s
+	job := func(shard int, stamp uint64) {
+		raw, _ := json.Marshal(storage.Job{Shard: shard, Spec: protocol.Job{ID: "wk-1", Team: "red", Shape: "array", Tasks: 12, Cores: 1, GuessS: 9}})
+		n.apply(storage.JobKey("wk-1"), raw, stamp)
+	}
+	job(0, 9)
+	p := n.planner(time.Now())
+	s.queue = s.order(p, time.Now())
+	for range 2 {
+		n.moveJobs(context.Background())
+		if j := s.jobs["wk-1"]; !j.leaving || len(s.order(p, time.Now())) != 0 {
+			t.Fatal("placed while its move may still be applied")
+		}
+	}
+	if len(answers) != 0 {
+		t.Fatal("the move was not repeated")
+	}
+	job(0, 12) // another write was first: the move has failed for good
+	if len(s.order(p, time.Now())) != 1 {
+		t.Error("rests for ever")
+	}
+	job(1, 14)
+	if s.jobs["wk-1"] != nil {
+		t.Error("still in the shard that it left")
+	}
+}
--- a/internal/coordination/progress.go
+++ b/internal/coordination/progress.go
@@ -75,7 +75,11 @@
 }
 
 func (n *Node) save(ctx context.Context, w saving) {
-	rev, err := n.state.Multi(ctx, w.txn)
+	write := n.state.Multi
+	if w.end != nil {
+		write = n.state.MultiSoon // its user waits for it
+	}
+	rev, err := write(ctx, w.txn)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	w.j.saving = false
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -14,7 +14,7 @@
 func (s *shard) order(p *planner, now time.Time) []*job {
 	var jobs []*job
 	for _, j := range s.jobs {
-		if !j.ended && !j.unsure && !now.Before(j.notTill) && j.waiting() > 0 {
+		if !j.ended && !j.unsure && !j.leaving && !now.Before(j.notTill) && j.waiting() > 0 {
 			jobs = append(jobs, j)
 		}
 	}
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -59,9 +59,14 @@
 	within  bool
 	counted int     // tasks done while this controller looked on,
 	took    float64 // and the seconds they ran
-	errOn   map[string]bool
-	backoff time.Duration
-	notTill time.Time
+	// leaving: the job is being given to another shard; no task of it is
+	// placed until its record has changed.
+	leaving    bool
+	movedTo    int  // while the write has to be repeated; -1: it is known
+	unsureMove bool // a write without an answer may still be applied
+	errOn      map[string]bool
+	backoff    time.Duration
+	notTill    time.Time
 }
 
 func (j *job) complete() bool { return j.done.Len() >= j.spec.Tasks }
@@ -157,6 +162,7 @@
 	writes  bool   // a grant write is under way
 	wrote   uint64 // revision of the last one that succeeded
 	wroteAt time.Time
+	triedAt time.Time
 	freed   bool // room has come free since tasks were last placed
 	news    bool // something has come up that a plan or a write should not wait for
 	// unread jobs have a record that can't be read: they are left alone.
@@ -224,7 +230,12 @@
 // addJob takes a job into the shard, or notes its record's new stamp.
 func (s *shard) addJob(j *job) {
 	if old := s.jobs[j.id]; old != nil {
-		old.stamp = j.stamp
+		if j.stamp > old.stamp {
+			// Whatever was written under the former stamp can't be applied
+			// any more.
+			old.stamp = j.stamp
+			old.leaving, old.unsureMove = false, false
+		}
 		return
 	}
 	// A record older than the lease may belong to tasks that the former
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -110,6 +110,7 @@
 	if acts {
 		n.flush(ctx)
 		n.writeGrants(ctx)
+		n.moveJobs(ctx)
 	}
 	return 0
 }
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -26,8 +26,13 @@
 func (r *Replica) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		since, err := r.load(ctx)
+		// The pages of a load were read one after the other. Only with what
+		// has changed since the first do they show one moment, as a job's
+		// move from one shard to another needs.
+		wait := time.Duration(0)
 		for err == nil {
-			since, err = r.follow(ctx, since)
+			since, err = r.follow(ctx, since, wait)
+			wait = r.Poll
 		}
 		slog.Info("replica reads anew", "cause", err)
 		pause(ctx, 300*time.Millisecond)
@@ -35,7 +40,6 @@
 }
 
 func (r *Replica) load(ctx context.Context) (uint64, error) {
-	sent := time.Now()
 	seen := map[string]uint64{}
 	var items []protocol.Item
 	var ledger uint64
@@ -70,13 +74,12 @@
 		}
 	}
 	r.known = seen
-	r.Synced(sent)
 	return ledger, nil
 }
 
-func (r *Replica) follow(ctx context.Context, since uint64) (uint64, error) {
+func (r *Replica) follow(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
 	sent := time.Now()
-	ch, err := r.Client.Follow(ctx, Root, since, r.Poll)
+	ch, err := r.Client.Follow(ctx, Root, since, wait)
 	if errors.Is(err, ErrRefused) || errors.Is(err, ErrUnknown) {
 		pause(ctx, 200*time.Millisecond)
 		return since, ctx.Err()
