Fill shards to what a record holds and a controller's processor bears

Cause: what shards cost is machines and work in different ones; the processor time behind fill-machines was a constant and ten times too high.

Settings whose records can't hold a machine are refused; check prints the capacity.

--- a/cmd/reedtrack/main.go
+++ b/cmd/reedtrack/main.go
@@ -68,6 +68,7 @@
 	fmt.Printf("%s at %s, %d controllers, %d teams\n", set.HostName, set.Listen, set.Deployment.Count, len(set.Deployment.Teams))
 	fmt.Printf("ucfit              a=%g b=%g c=%g\n", op.A, op.B, op.C)
 	fmt.Printf("shards             %d, each filled to %d machines before the next\n", op.Shards, op.Fill)
+	fmt.Printf("capacity           %d machines a shard by state.value_kb %g, %d in all\n", set.Capacity(), set.Deployment.State.ValueKB, op.Shards*set.Capacity())
 	fmt.Printf("idle-boots         %g\n", op.Idle)
 	fmt.Printf("holder-lease-s     %.3f, acts for %.3f s after a renewal\n", t.HolderLease.Seconds(), t.Act.Seconds())
 	fmt.Printf("worker is gone     after %.3f s of silence\n", t.WorkerGone.Seconds())
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -170,6 +170,10 @@
 	if d.State.TxnOps < 4 {
 		return bad("deployment.state.txn_ops", "must be at least 4")
 	}
+	if s.Capacity() < 1 {
+		return bad("deployment.state.value_kb", fmt.Sprintf("%g KiB must hold the shares of %d teams and a machine: %d bytes are missing",
+			d.State.ValueKB, len(d.Teams), machineBytes-s.Capacity()*machineBytes))
+	}
 	if d.Limits.MaxSockets < 0 {
 		return bad("deployment.limits.max_sockets", "must not be negative")
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -60,23 +60,29 @@
 	// A third of what a cancellation leaves above the workers' lease: the
 	// rest is for the take-over and for commands under way.
 	lease := Seconds((w.CancelS - w.LeaseS) / 3)
-	return Operator{A: 2, B: 1, C: 0.2, Shards: s.Deployment.Count, Fill: s.fill(),
+	return Operator{A: 2, B: 1, C: 0.2, Shards: s.Deployment.Count, Fill: s.Capacity(),
 		HolderLease: min(max(lease, 2*time.Second), 10*time.Second),
 		Idle:        1}
 }
 
-// reportCost is the processor time that a worker's report takes a controller,
-// planning included, as profiled on a busy day.
-const reportCost = 1 * time.Millisecond
+// What a shard's record takes at the state service: a machine of a usual name
+// with its term and time, a team's share of its limit, and the rest.
+const (
+	machineBytes = 24
+	teamBytes    = 64
+	recordBytes  = 512
+)
+
+// requestBytes is the most that the state service takes in one request.
+const requestBytes = 64 << 10
 
-// fill is how many machines one controller can serve with half its share of
-// the processor.
-func (s *Settings) fill() int {
-	share := s.Deployment.Limits.CPUShare
-	if share <= 0 {
-		share = 1
+// Capacity is how many machines one shard's record can hold.
+func (s *Settings) Capacity() int {
+	room := min(int(s.Deployment.State.ValueKB*1024), requestBytes) - 2*recordBytes
+	for _, t := range s.Deployment.Teams {
+		room -= len(t.Name) + teamBytes
 	}
-	return max(1, int(share/2*s.Deployment.Workers.ReportS/reportCost.Seconds()))
+	return room / machineBytes
 }
 
 // LoadOperator reads the XML file at path over the defaults; no path, only
@@ -139,8 +145,9 @@
 			return op, &FieldError{file, "status-listen", "not an address with a port: " + op.Status}
 		}
 	}
-	if op.Fill < 1 {
-		return op, &FieldError{file, "fill-machines", "must be at least 1"}
+	if op.Fill < 1 || op.Fill > s.Capacity() {
+		return op, &FieldError{file, "fill-machines", fmt.Sprintf("must be from 1 to %d, what a record of state.value_kb %g holds",
+			s.Capacity(), s.Deployment.State.ValueKB)}
 	}
 	if !(op.Idle >= 0 && op.Idle <= 1000) {
 		return op, &FieldError{file, "idle-boots", "must be from 0 to 1000"}
--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -215,7 +215,7 @@
 	clocks := 2 * int64(n.set.Deployment.ClockErrorMS)
 	for _, g := range n.grantRecs {
 		for _, b := range g.v.Blocks {
-			if _, ok := seen[b.Machine]; ok || b.AtMS == 0 || asked-b.AtMS <= (2*lag+time.Second).Milliseconds()+clocks {
+			if _, ok := seen[b.Machine]; ok || b.At == 0 || asked-1000*b.At <= (2*lag+time.Second).Milliseconds()+clocks {
 				continue
 			}
 			if l.known[b.Machine] == nil {
--- a/internal/coordination/division.go
+++ b/internal/coordination/division.go
@@ -110,25 +110,34 @@
 }
 
 // shardFor picks the shard of a new job. As many shards are open as it takes
-// for each to have no more machines than one controller can serve; work that
-// one can serve stays together, since machines that are split among shards are
-// left partly empty in each. Of the open ones that gets the job whose machines
-// lack least, or, when no more are to be had, will get round to it first.
+// for each record to hold its machines and for each holder to have processor
+// time to spare: work that one can serve stays together, since machines that
+// are split among shards are left partly empty in each. Of the open ones that
+// gets the job whose machines lack least, or, when no more are to be had, will
+// get round to it first.
 func (n *Node) shardFor(j *protocol.Job, now time.Time) int {
 	l := n.loads(now)
 	mine := n.loadOf(j, j.Tasks)
 	need := l.machines + mine.machines
-	blocks := float64(len(n.owner))
 	none := n.exhausted(j)
 	if none {
 		need = 0
 	}
-	open := int(math.Ceil(max(need, blocks) / float64(n.op.Fill)))
-	open = min(max(open, 1), n.op.Shards)
+	want := max(1, int(math.Ceil(max(need, float64(len(n.owner)))/float64(n.op.Fill))))
+	var open, able []int
+	for i := 0; i < n.op.Shards && len(able) < want; i++ {
+		open = append(open, i)
+		if !n.tooBusyFor(i) {
+			able = append(able, i)
+		}
+	}
+	if len(able) > 0 {
+		open = able
+	}
 	// Controllers that know of no difference begin with different shards.
-	best := n.number % open
+	best := open[n.number%len(open)]
 	for k := range open {
-		if i := (n.number + k) % open; lessLack(l.shards[i], l.shards[best], mine.cores, none) < 0 {
+		if i := open[(n.number+k)%len(open)]; lessLack(l.shards[i], l.shards[best], mine.cores, none) < 0 {
 			best = i
 		}
 	}
--- a/internal/coordination/gossip.go
+++ b/internal/coordination/gossip.go
@@ -13,6 +13,7 @@
 	From    string
 	Session uint64
 	Valid   bool
+	Busy    float64 // part of its processor share in use
 	Shards  []ShardStatus
 	Bad     []string
 
@@ -74,7 +75,7 @@
 
 // status describes this controller.
 func (n *Node) status() *Status {
-	st := &Status{From: n.set.HostName, Session: n.session, Valid: n.valid(n.now())}
+	st := &Status{From: n.set.HostName, Session: n.session, Valid: n.valid(n.now()), Busy: n.meter.busy}
 	for id := range n.bad {
 		st.Bad = append(st.Bad, id)
 	}
--- a/internal/coordination/grants.go
+++ b/internal/coordination/grants.go
@@ -165,7 +165,7 @@
 		}
 		given[to]++
 		done[k.id] = true
-		d.add(to, storage.Block{Machine: k.id, Breed: k.kind.Breed, Zone: k.kind.Zone, Spot: k.kind.Spot, Term: term, AtMS: now.UnixMilli()})
+		d.add(to, storage.Block{Machine: k.id, Breed: k.kind.Breed, Zone: k.kind.Zone, Spot: k.kind.Spot, Term: term, At: now.Add(time.Second - 1).Unix()})
 		what += fmt.Sprintf(" %s->%d", k.id, to)
 	}
 	l.drop(func(e *expected) bool { return done[e.id] })
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -27,6 +27,7 @@
 	peers  map[string]Peer
 	direct Direct
 	now    func() time.Time
+	cpu    func() time.Duration // processor time used so far
 	// opening is a session being opened; only the lease loop uses it.
 	opening struct {
 		hold uint64
@@ -56,6 +57,7 @@
 
 	shards  map[int]*shard // those held by this controller
 	others  map[string]*Status
+	meter   meter
 	number  int // of this controller among all
 	pending map[string]pending
 	told    *Status // last told to the others
@@ -100,7 +102,7 @@
 // New returns a controller that has not started.
 func New(set *config.Settings, op config.Operator, state *storage.Client, cloud Cloud, peers map[string]Peer, direct Direct) *Node {
 	n := &Node{set: set, op: op, timing: set.Timing(op), state: state, cloud: cloud, peers: peers, direct: direct,
-		now: time.Now, kick: make(chan struct{}, 1), kickWrite: make(chan struct{}, 1), kickLead: make(chan struct{}, 1),
+		now: time.Now, cpu: processTime, kick: make(chan struct{}, 1), kickWrite: make(chan struct{}, 1), kickLead: make(chan struct{}, 1),
 		aliveNodes: map[string]entry[storage.Node]{}, shardRecs: map[int]entry[storage.Shard]{},
 		grantRecs: map[int]entry[storage.Grant]{}, owner: map[string]int{}, jobs: map[string]*jobRec{}, unread: map[string]bool{}, sizes: map[string]placement.Vector{},
 		teams: map[string]team{}, shards: map[int]*shard{}, others: map[string]*Status{},
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -57,6 +57,11 @@
 		return 0
 	}
 	start := time.Now()
+	share := n.set.Deployment.Limits.CPUShare
+	if share <= 0 {
+		share = 1
+	}
+	n.meter.read(now, n.cpu(), share)
 	n.holdShards()
 	n.markWithin()
 	p := n.planner(now)
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -130,6 +130,7 @@
 	wr := &wire{s: w.store, rnd: rand.New(rand.NewPCG(uint64(w.intn(1e6)), 7)), bad: 0.02}
 	st := storage.NewClientOver(wr, set.Deployment.State.RPS, set.Deployment.State.WriteRPS, 3)
 	n := New(&set, op, st, simCloud{w}, peers, w.direct)
+	n.cpu = func() time.Duration { return 0 }
 	if w.tweak != nil {
 		w.tweak(n)
 	}
