Let submissions and ends use writes ahead of the other work

Now such a write is sent at once, up to 3 s ahead of the budget, and what can wait waits; the service's own limit is the judge, and what it refuses is sent again until a second has passed. Requests stay within their part, so that renewals are never refused.

--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -22,6 +22,7 @@
 var (
 	ErrConflict = errors.New("state service: a condition does not hold")
 	ErrRefused  = errors.New("state service: not executed")
+	ErrRate     = fmt.Errorf("%w: too many requests", ErrRefused)
 	ErrBudget   = fmt.Errorf("%w: no budget left", ErrRefused)
 	ErrUnknown  = errors.New("state service: no answer")
 	ErrNoLease  = errors.New("state service: lease is gone")
@@ -69,7 +70,9 @@
 	return c
 }
 
-func limiter(v float64) *rate.Limiter { return rate.NewLimiter(rate.Limit(v), max(1, int(v))) }
+func limiter(v float64) *rate.Limiter { return rate.NewLimiter(rate.Limit(v), burst(v)) }
+
+func burst(v float64) int { return max(1, int(v)) }
 
 // WatchRest is how long each of so many controllers rests between two watches,
 // so that together they keep within their part of the service's requests
@@ -86,7 +89,7 @@
 	}
 	if v := rate.Limit(parts * c.writes); c.changes.Limit() != v {
 		c.changes.SetLimit(v)
-		c.changes.SetBurst(max(1, int(v)))
+		c.changes.SetBurst(burst(float64(v)))
 	}
 }
 
@@ -109,7 +112,9 @@
 		return ErrConflict
 	case se.Code == http.StatusGone:
 		return ErrTooOld
-	case se.Code == http.StatusServiceUnavailable || se.Code == http.StatusTooManyRequests:
+	case se.Code == http.StatusTooManyRequests:
+		return ErrRate
+	case se.Code == http.StatusServiceUnavailable:
 		return ErrRefused
 	case se.Code == http.StatusBadRequest:
 		var f protocol.Failure
@@ -121,16 +126,19 @@
 }
 
 // budget takes what a request costs, if that is to be had within a time that
-// the caller can wait; otherwise it says so at once.
-func (c *Client) budget(ctx context.Context, writes int, most time.Duration) error {
+// the caller can wait; otherwise it says so at once. What can't wait may take
+// writes ahead of time: users seldom come to all controllers alike, and the
+// parts of the others are mostly not used up. What can wait then has to.
+func (c *Client) budget(ctx context.Context, writes int, most time.Duration, ahead bool) error {
 	now := time.Now()
-	wait := time.Duration(0)
 	taken := []*rate.Reservation{c.requests.ReserveN(now, 1)}
+	wait := taken[0].DelayFrom(now)
 	if writes > 0 {
-		taken = append(taken, c.changes.ReserveN(now, min(writes, c.changes.Burst())))
-	}
-	for _, r := range taken {
-		wait = max(wait, r.DelayFrom(now))
+		r := c.changes.ReserveN(now, min(writes, c.changes.Burst()))
+		taken = append(taken, r)
+		if d := r.DelayFrom(now); !ahead || d > mostAhead {
+			wait = max(wait, d)
+		}
 	}
 	if wait > most {
 		for _, r := range taken {
@@ -148,10 +156,13 @@
 	return nil
 }
 
+// mostAhead bounds how much of its future budget a controller may have used.
+const mostAhead = 3 * time.Second
+
 // Get reads a key.
 func (c *Client) Get(ctx context.Context, path string) (protocol.Item, error) {
 	var it protocol.Item
-	if err := c.budget(ctx, 0, soon); err != nil {
+	if err := c.budget(ctx, 0, soon, false); err != nil {
 		return it, err
 	}
 	err := c.http.Do(ctx, http.MethodGet, c.base+"/keys/"+path, nil, &it)
@@ -175,19 +186,32 @@
 
 // Multi carries out a transaction and returns its revision.
 func (c *Client) Multi(ctx context.Context, t protocol.Txn) (uint64, error) {
-	return c.multi(ctx, t, 0)
+	return c.multi(ctx, t, 0, false)
 }
 
-// MultiSoon is Multi for a user who waits for the answer.
+// MultiSoon is Multi for a user who waits for the answer. What the service
+// refuses in a burst of several controllers was not executed, and is sent
+// again while the user would have to wait as long to ask again.
 func (c *Client) MultiSoon(ctx context.Context, t protocol.Txn) (uint64, error) {
-	return c.multi(ctx, t, soon)
+	end := time.Now().Add(soon)
+	for {
+		left := time.Until(end)
+		rev, err := c.multi(ctx, t, left, true)
+		if !errors.Is(err, ErrRate) || left < again || ctx.Err() != nil {
+			return rev, err
+		}
+		time.Sleep(again)
+	}
 }
 
-func (c *Client) multi(ctx context.Context, t protocol.Txn, wait time.Duration) (uint64, error) {
+// again is how soon a request is sent again that was over the service's rate.
+const again = 50 * time.Millisecond
+
+func (c *Client) multi(ctx context.Context, t protocol.Txn, wait time.Duration, ahead bool) (uint64, error) {
 	if t.When == nil {
 		t.When = []protocol.Cond{}
 	}
-	if err := c.budget(ctx, max(1, len(t.Writes)), wait); err != nil {
+	if err := c.budget(ctx, max(1, len(t.Writes)), wait, ahead); err != nil {
 		return 0, err
 	}
 	var res protocol.TxnResult
