--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -188,7 +188,7 @@
 	sp := jr.rec.Spec
 	done, _ := storage.ParseSet(jr.rec.Done, sp.Tasks)
 	j := &job{id: sp.ID, spec: sp, stamp: jr.stamp, shard: jr.rec.Shard, atMS: jr.rec.AtMS, done: done, saved: done.Len(),
-		need: placement.Vector{sp.Cores, sp.Cards, sp.RAM}}
+		need: placement.Vector{sp.Cores, sp.Cards, sp.RAM}, came: n.now()}
 	// The time of day moves about; waiting is only measured from the record.
 	j.at = n.now().Add(min(0, time.Duration(jr.rec.AtMS-n.now().UnixMilli())*time.Millisecond))
 	if len(sp.Breeds) > 0 {
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -231,6 +231,10 @@
 		n.apply(storage.JobKey("wk-1"), raw, stamp)
 	}
 	job(0, 9)
+	s.jobs["wk-1"].came = time.Now().Add(-time.Minute)
+	for _, k := range s.jobs["wk-1"].kinds(&planner{breeds: simBreeds}) {
+		n.refuse[k] = time.Now().Add(time.Hour) // no machines are to be had
+	}
 	p := n.planner(time.Now())
 	s.queue = s.order(p, time.Now())
 	for range 2 {
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"reedtrack/internal/config"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
 )
@@ -81,15 +82,28 @@
 // would be placed last first, and the shard that will get round to it sooner.
 func (n *Node) pickMove(s *shard, now time.Time) (*job, int) {
 	loads := n.loads(now)
+	settle := 2 * config.Seconds(n.set.Deployment.Workers.ReportS)
 	for _, j := range slices.Backward(s.queue) {
 		if s.jobs[j.id] != j || len(j.runs) > 0 || j.unsure || j.ended || j.saving || j.leaving || j.waiting() == 0 || n.jobs[j.id] == nil {
 			continue
 		}
+		// What the shards have and wait for is known from records and words of
+		// a while ago: a job that has just come is not sent on.
+		if now.Sub(j.came) < settle {
+			continue
+		}
 		c := float64(j.waiting()) * j.need[0]
 		from := loads.shards[s.index]
 		if from.turn(0) <= 1 {
 			return nil, 0
 		}
+		if !n.exhausted(&j.spec) {
+			// Machines can be had, here or where records have room for them.
+			if to := n.openShard(loads); to >= 0 && to != s.index && n.fullShard(s.index, s.awaited()) {
+				return j, to
+			}
+			continue
+		}
 		best, low := -1, math.Inf(1)
 		for i, to := range loads.shards {
 			if turn := to.turn(c); i != s.index && to.have > 0 && turn < low {
@@ -103,6 +117,24 @@
 	return nil, 0
 }
 
+// fullShard tells whether a shard's record has no room for more machines than
+// it has and those on their way.
+func (n *Node) fullShard(i, coming int) bool {
+	return len(n.grantRecs[i].v.Blocks)+coming >= n.set.Capacity()
+}
+
+// openShard picks the shard that lacks least among those with room in their
+// records, or -1.
+func (n *Node) openShard(l loads) int {
+	best := -1
+	for i := range l.shards {
+		if !n.fullShard(i, 0) && (best < 0 || lessLack(l.shards[i], l.shards[best], 0, false) < 0) {
+			best = i
+		}
+	}
+	return best
+}
+
 // shardLoad is what a shard's jobs ask for, and what its machines have, in
 // processors.
 type shardLoad struct{ cores, have float64 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -21,6 +21,7 @@
 	report  time.Duration
 	aims    []config.Objective
 	usage   map[string]storage.Amount // of all shards
+	most    int                       // machines that a shard may have
 }
 
 type team struct {
--- /dev/null
+++ b/internal/coordination/plan_bench_test.go
@@ -0,0 +1,89 @@
+package coordination
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"reedtrack/internal/placement"
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// busyShard is a shard whose machines are all in use, with three jobs waiting
+// for every ten machines.
+func busyShard(machines int, now time.Time) (*shard, *planner) {
+	s := newShard(0, storage.Shard{Term: 1}, 1, now)
+	s.settled = true
+	var g storage.Grant
+	for i := range machines {
+		g.Blocks = append(g.Blocks, storage.Block{Machine: fmt.Sprintf("host-%06d", i), Breed: "small", Zone: "a", Spot: true, Term: 2})
+	}
+	s.setGrant(g, func(string) (placement.Vector, bool) { return placement.Vector{8, 0, 32}, true }, now)
+	s.shares = map[string]storage.Amount{"red": {Cores: 1e6}}
+	p := &planner{params: placement.Params{A: 2, B: 1, C: 0.2}, breeds: simBreeds, most: machines, report: 5 * time.Second,
+		teams: map[string]team{"red": {limit: storage.Amount{Cores: 1e6}}}, refused: func(kind) bool { return true }}
+	add := func(id, tasks int, cores float64) *job {
+		j := &job{id: fmt.Sprintf("wk-%06d", id), stamp: 9, at: now, need: placement.Vector{cores, 0, 2}}
+		j.spec = protocol.Job{ID: j.id, Team: "red", Shape: "array", Urgency: "normal", Tasks: tasks, Cores: cores, RAM: 2, GuessS: 30, Spot: true, Image: "i"}
+		s.addJob(j)
+		return j
+	}
+	for _, m := range s.machines {
+		s.report(m, &protocol.Report{Machine: m.block.Machine, Stint: 1, Tally: 1, Baton: 2}, now)
+	}
+	for i := range machines {
+		add(i, 8, float64(1+i%2))
+	}
+	for i := range machines * 3 / 10 {
+		add(machines+i, 40, 2)
+	}
+	return s, p
+}
+
+// BenchmarkPlan measures a thorough plan of a full shard.
+func BenchmarkPlan(b *testing.B) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, n := range []int{50, 200, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Now()
+			s, p := busyShard(n, now)
+			s.plan(p, true, now)
+			for b.Loop() {
+				s.plan(p, true, now)
+			}
+		})
+	}
+}
+
+// BenchmarkReport measures a report that frees a task's room, with the task
+// that takes its place and the answer.
+func BenchmarkReport(b *testing.B) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, n := range []int{50, 200, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Now()
+			s, p := busyShard(n, now)
+			s.plan(p, true, now)
+			list := s.sorted()
+			tally := uint64(1)
+			for b.Loop() {
+				tally++
+				m := list[int(tally)%len(list)]
+				s.orders(m, now)
+				r := &protocol.Report{Machine: m.block.Machine, Stint: 1, Tally: tally, Baton: 2}
+				for k, x := range m.runs {
+					r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName(k.job, k.task), Try: x.try, Status: protocol.Running})
+				}
+				if len(r.Tasks) > 0 {
+					r.Tasks[0].Status, r.Tasks[0].Cause = protocol.Ended, protocol.CauseHalted
+				}
+				s.report(m, r, now)
+				s.fill(m, p.teams)
+				s.orders(m, now)
+			}
+		})
+	}
+}
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -62,8 +62,9 @@
 	// leaving: the job is being given to another shard; no task of it is
 	// placed until its record has changed.
 	leaving    bool
-	movedTo    int  // while the write has to be repeated; -1: it is known
-	unsureMove bool // a write without an answer may still be applied
+	came       time.Time // when this controller took it in
+	movedTo    int       // while the write has to be repeated; -1: it is known
+	unsureMove bool      // a write without an answer may still be applied
 	errOn      map[string]bool
 	backoff    time.Duration
 	notTill    time.Time
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -139,7 +139,7 @@
 		}
 	}
 	return &planner{params: placement.Params{A: n.op.A, B: n.op.B, C: n.op.C}, breeds: n.catalog, teams: n.teams,
-		refused: func(k kind) bool { return now.Before(n.refuse[k]) }, usage: usage, aims: n.set.Deployment.Objectives,
+		refused: func(k kind) bool { return now.Before(n.refuse[k]) }, usage: usage, most: n.set.Capacity(), aims: n.set.Deployment.Objectives,
 		report: config.Seconds(n.set.Deployment.Workers.ReportS)}
 }
 
--- a/internal/coordination/wanted.go
+++ b/internal/coordination/wanted.go
@@ -25,6 +25,9 @@
 		}
 	}
 	s.fits = s.fits[:0]
+	// A record that is full takes no more machines: rented for it, they would
+	// stand idle and be given back.
+	more := p.most - len(s.machines) - len(bins)
 	for _, u := range left {
 		j := u.job
 		kinds := j.kinds(p)
@@ -43,12 +46,13 @@
 		for range u.count {
 			i := pick.Best()
 			if i < 0 {
-				if !ok {
+				if !ok || more <= 0 {
 					break
 				}
 				i = len(bins)
 				size := p.size(best.Breed)
 				bins = append(bins, bin{best, size, size, true})
+				more--
 				pick.Offer(i, size, size, 0)
 			}
 			pick.Take()
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -31,6 +31,9 @@
 	asks    map[string][]string
 	next    int
 	noCloud bool
+	most    int // machines that the cloud has
+	fill    int // machines a shard
+	tasks   int // of a job, at most
 	tweak   func(*Node)
 
 	specs    map[string]*protocol.Job
@@ -43,6 +46,7 @@
 	use      map[string]float64
 	starts   int
 	broken   []string
+	largest  [8]int // most machines that each shard has had
 	wg       sync.WaitGroup
 	ctx      context.Context
 }
@@ -70,7 +74,7 @@
 	d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 300, 200, 16, 12
 	d.Cloud.RPS, d.Cloud.ListLagS = 10, 2
 	d.Limits.CPUShare = 0.1
-	return &world{set: set, store: standin.NewStore(), rnd: rand.New(rand.NewPCG(seed, 1)), tweak: tweak,
+	return &world{set: set, store: standin.NewStore(), most: 10, fill: 2, tasks: 9, rnd: rand.New(rand.NewPCG(seed, 1)), tweak: tweak,
 		workers: map[string]*worker{}, ready: map[string]time.Time{}, asks: map[string][]string{},
 		specs: map[string]*protocol.Job{}, told: map[string]string{}, accepted: map[string]bool{},
 		gone: map[string]time.Time{}, cancel: map[string]bool{}, done: map[string]bool{},
@@ -120,7 +124,7 @@
 	set := *w.set
 	set.HostName = w.nodes[i].name
 	op := set.Defaults()
-	op.Fill = 2 // so that all shards get jobs
+	op.Fill = w.fill // so that all shards get jobs
 	peers := map[string]Peer{}
 	for k, o := range w.nodes {
 		if k != i {
@@ -186,7 +190,7 @@
 	}
 	var names []string
 	for range r.HowMany {
-		if len(w.workers) >= 10 {
+		if len(w.workers) >= w.most {
 			break
 		}
 		w.next++
@@ -687,7 +691,7 @@
 	teams, levels := []string{"red", "blue"}, []string{"low", "normal", "high", "prod"}
 	for k := range jobs {
 		j := &protocol.Job{ID: fmt.Sprintf("wk-%06d", k), Class: "x", Team: teams[w.intn(2)], Shape: "array",
-			Urgency: levels[w.intn(4)], Tasks: 1 + w.intn(9), Cores: float64(1 + w.intn(3)), RAM: 2, Image: fmt.Sprint("i", w.intn(3)),
+			Urgency: levels[w.intn(4)], Tasks: 1 + w.intn(w.tasks), Cores: float64(1 + w.intn(3)), RAM: 2, Image: fmt.Sprint("i", w.intn(3)),
 			ImageGB: float64(w.intn(4)), GuessS: float64(4 + w.intn(25)), Spot: w.intn(4) > 0}
 		switch w.intn(6) {
 		case 0:
@@ -712,6 +716,7 @@
 	end := time.Now().Add(rough)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(3+w.intn(12)) * time.Second)
+		w.measure()
 		w.trouble()
 	}
 	w.store.Outage(false)
@@ -731,6 +736,9 @@
 	w.mu.Unlock()
 	time.Sleep(calm)
 	w.mu.Lock()
+	for _, why := range w.store.Over() {
+		w.breakf("over a limit of the state service: %s", why)
+	}
 	for id := range w.accepted {
 		if w.told[id] == "" {
 			w.breakf("never over: %s", id)
@@ -742,6 +750,17 @@
 	synctest.Wait()
 }
 
+// measure notes how large the shards are.
+func (w *world) measure() {
+	if n := w.node(0); n != nil {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for i, g := range n.grantRecs {
+			w.largest[i] = max(w.largest[i], len(g.v.Blocks))
+		}
+	}
+}
+
 // trouble makes one thing go wrong.
 func (w *world) trouble() {
 	i := w.intn(3)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,13 +15,20 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"reedtrack/internal/protocol"
 )
 
 // Store stands in for the state service, written from the protocol: versions,
 // conditions, leases that an outage gives their full time again, watches.
 type Store struct {
+	// Limits of a transaction; 0: none. Set before use.
+	ValueBytes, TxnOps int
+	Writes             *rate.Limiter // nil: none
+
 	mu      sync.Mutex
+	over    []string // transactions that no repetition could make succeed
 	ledger  uint64
 	keys    map[string]protocol.Item
 	holds   map[string]uint64
@@ -115,6 +123,13 @@
 		if json.Unmarshal(body, &t) != nil {
 			return 400, nil
 		}
+		if why := s.tooLarge(&t, len(body)); why != "" {
+			s.over = append(s.over, why)
+			return 400, protocol.Failure{Error: why}
+		}
+		if s.Writes != nil && !s.Writes.AllowN(time.Now(), len(t.Writes)) {
+			return 429, protocol.Failure{Error: "too many writes"}
+		}
 		for _, w := range t.Writes {
 			if w.Hold != 0 && s.leases[w.Hold] == nil {
 				return 400, protocol.Failure{Error: "no such lease"}
@@ -165,14 +180,38 @@
 	return 200, it
 }
 
+// tooLarge says which limit a transaction is over.
+func (s *Store) tooLarge(t *protocol.Txn, size int) string {
+	if s.TxnOps > 0 && (len(t.Writes) > s.TxnOps || len(t.When) > 4*s.TxnOps) {
+		return fmt.Sprintf("%d writes under %d conditions", len(t.Writes), len(t.When))
+	}
+	if size > protocol.MaxBody {
+		return fmt.Sprintf("%d bytes in all", size)
+	}
+	for _, w := range t.Writes {
+		if raw, _ := json.Marshal(w.Data); s.ValueBytes > 0 && len(raw) > s.ValueBytes {
+			return fmt.Sprintf("%d bytes at %s", len(raw), w.Put)
+		}
+	}
+	return ""
+}
+
+// Over lists the transactions that were over a limit of the service.
+func (s *Store) Over() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.over)
+}
+
 func (s *Store) follow(ctx context.Context, under string, since uint64, wait time.Duration) (int, any) {
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
 		var out protocol.Changes
 		out.Ledger = s.ledger
-		for _, c := range s.log {
-			if c.Stamp > since && strings.HasPrefix(c.Put+c.Delete, under) {
+		from, _ := slices.BinarySearchFunc(s.log, since+1, func(c protocol.Change, stamp uint64) int { return cmp.Compare(c.Stamp, stamp) })
+		for _, c := range s.log[from:] {
+			if strings.HasPrefix(c.Put+c.Delete, under) {
 				out.Log = append(out.Log, c)
 			}
 		}
