Divide a team's room by what shards want of it, and give way beyond that

Ruled out: the division of machines, which was even by turn. Change: a shard's fair part is by what it wants of all that is wanted; while another is short it starts nothing beyond it and so gives it back; the leader grants by the same measure instead of in the order of the shards.

--- a/internal/coordination/giveback.go
+++ b/internal/coordination/giveback.go
@@ -112,36 +112,54 @@
 }
 
 // keepShare is what a shard keeps of a team's limit while another shard is
-// short: what it uses or wants, the latter up to an equal part among the
-// shards that want any.
+// short: what it uses, or its fair part.
 func (n *Node) keepShare(s *shard, team string, share, unknown storage.Amount) storage.Amount {
-	limit, used, want := n.teams[team].limit, s.used[team], s.wanted[team]
-	parts := float64(n.wanting(team, s.index))
-	keep := func(share, used, unknown, want, limit float64) float64 {
-		return min(share, max(used+unknown, min(want, limit/parts)))
-	}
-	return storage.Amount{Cores: keep(share.Cores, used.Cores, unknown.Cores, want.Cores, limit.Cores),
-		Cards: keep(share.Cards, used.Cards, unknown.Cards, want.Cards, limit.Cards)}
+	used, fair := s.used[team], n.fairShare(team, s)
+	return storage.Amount{Cores: min(share.Cores, max(used.Cores+unknown.Cores, fair.Cores)),
+		Cards: min(share.Cards, max(used.Cards+unknown.Cards, fair.Cards))}
 }
 
-// wanting counts the shards that want a part of a team's limit, with the one
-// that asks.
-func (n *Node) wanting(team string, me int) int {
-	some := map[int]bool{me: true}
-	look := func(i int, w storage.Amount) {
-		if w.Cores > 0 || w.Cards > 0 {
-			some[i] = true
+// fairShare is a shard's part of a team's limit by what the shards want of it.
+func (n *Node) fairShare(team string, s *shard) storage.Amount {
+	want := s.wanted[team]
+	all := want
+	add := func(i int, w storage.Amount) {
+		if i != s.index {
+			all.Cores += w.Cores
+			all.Cards += w.Cards
 		}
 	}
-	for i, s := range n.shards {
-		look(i, s.wanted[team])
+	for i, o := range n.shards {
+		add(i, o.wanted[team])
 	}
 	for _, o := range n.others {
-		for _, s := range o.Shards {
-			look(s.Index, s.Wanted[team])
+		for _, ss := range o.Shards {
+			add(ss.Index, ss.Wanted[team])
+		}
+	}
+	return fairPart(want, all, n.teams[team].limit)
+}
+
+// fairPart divides a limit among those who want more than it, each by what he
+// wants.
+func fairPart(want, all, limit storage.Amount) storage.Amount {
+	part := func(want, all, limit float64) float64 {
+		if all <= limit || all <= 0 {
+			return want
 		}
+		return limit * want / all
+	}
+	return storage.Amount{Cores: part(want.Cores, all.Cores, limit.Cores), Cards: part(want.Cards, all.Cards, limit.Cards)}
+}
+
+// capShares bounds what a shard starts for teams of which another shard is
+// short: room that comes free beyond the fair part is left to be given back.
+// Without that a shard that is always full would keep its share for ever.
+func (n *Node) capShares(s *shard) {
+	clear(s.caps)
+	for team := range n.shortTeams(s.index) {
+		s.caps[team] = n.fairShare(team, s)
 	}
-	return len(some)
 }
 
 // shortTeams lists the teams of which some shard other than one wants more
--- a/internal/coordination/grants.go
+++ b/internal/coordination/grants.go
@@ -173,7 +173,8 @@
 }
 
 // grantShares gives room of the teams' limits that no shard has to those that
-// want it. A little more than is wanted spares the next grant.
+// want it, by what they want. If there is enough for all, a little more than is
+// wanted spares the next grant.
 func (n *Node) grantShares(d *draft, stats []*ShardStatus) string {
 	what := ""
 	for _, name := range slices.Sorted(maps.Keys(n.teams)) {
@@ -183,13 +184,20 @@
 			free.Cores -= g.v.Shares[name].Cores
 			free.Cards -= g.v.Shares[name].Cards
 		}
+		var all storage.Amount
+		for _, st := range stats {
+			if st != nil {
+				all.Cores += st.Wanted[name].Cores
+				all.Cards += st.Wanted[name].Cards
+			}
+		}
 		for i, st := range stats {
 			if st == nil {
 				continue
 			}
-			have, want := n.grantRecs[i].v.Shares[name], st.Wanted[name]
-			more := storage.Amount{Cores: n.moreShare(free.Cores, want.Cores-have.Cores, t.limit.Cores),
-				Cards: n.moreShare(free.Cards, want.Cards-have.Cards, t.limit.Cards)}
+			have, fair := n.grantRecs[i].v.Shares[name], fairPart(st.Wanted[name], all, t.limit)
+			more := storage.Amount{Cores: n.moreShare(free.Cores, fair.Cores-have.Cores, all.Cores, t.limit.Cores),
+				Cards: n.moreShare(free.Cards, fair.Cards-have.Cards, all.Cards, t.limit.Cards)}
 			if more.Cores < 1e-6 && more.Cards < 1e-6 || !d.share(i, name, storage.Amount{Cores: have.Cores + more.Cores, Cards: have.Cards + more.Cards}) {
 				continue
 			}
@@ -201,9 +209,13 @@
 	return what
 }
 
-func (n *Node) moreShare(free, short, limit float64) float64 {
+// moreShare is how much of what is free a shard gets that is short.
+func (n *Node) moreShare(free, short, all, limit float64) float64 {
 	if short <= 0 {
 		return 0
 	}
-	return max(0, min(free, max(short, limit/float64(4*n.op.Shards))))
+	if all < limit {
+		short = max(short, limit/float64(4*n.op.Shards))
+	}
+	return max(0, min(free, short))
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -36,6 +36,9 @@
 // room tells how many more tasks of a job its team's share allows.
 func (s *shard) room(j *job, teams map[string]team, unknown storage.Amount) int {
 	t, used, share := teams[j.spec.Team], s.used[j.spec.Team], s.shares[j.spec.Team]
+	if c, ok := s.caps[j.spec.Team]; ok {
+		share = least(share, c)
+	}
 	n := j.spec.Tasks
 	limit := func(max, have, spent, need float64) {
 		if max > 0 && need > 0 {
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -151,6 +151,7 @@
 	jobs     map[string]*job
 	shares   map[string]storage.Amount
 	used     map[string]storage.Amount
+	caps     map[string]storage.Amount // fair parts of the shares that others are short of
 	settled  bool
 	tries    uint64
 	// what the leader last said
@@ -185,7 +186,7 @@
 func newShard(index int, rec storage.Shard, stamp uint64, now time.Time) *shard {
 	return &shard{index: index, term: rec.Term, stamp: stamp, since: now,
 		machines: map[string]*machine{}, jobs: map[string]*job{},
-		shares: map[string]storage.Amount{}, used: map[string]storage.Amount{}, wanted: map[string]storage.Amount{}}
+		shares: map[string]storage.Amount{}, used: map[string]storage.Amount{}, caps: map[string]storage.Amount{}, wanted: map[string]storage.Amount{}}
 }
 
 // baton is what workers of this machine are given: the term of the shard's
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -85,6 +85,7 @@
 		if thorough {
 			s.slowness(now)
 		}
+		n.capShares(s)
 		s.plan(p, thorough, now)
 		s.giveBack(now, n.timing.WorkerGone, n.idle)
 		for _, m := range s.machines {
