--- a/internal/coordination/dispatch.go
+++ b/internal/coordination/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"reedtrack/internal/protocol"
 )
@@ -39,39 +38,6 @@
 	}
 }
 
-// grantSoon bounds how long the leader keeps the report of a machine that has
-// come up while its grant is being written.
-const grantSoon = 500 * time.Millisecond
-
-// CheckinSoon is Checkin, but a machine that belongs to nobody yet is answered
-// once its grant is written, if that is soon: refused, it would ask the next
-// controller a second later and be sent back and forth while it costs money.
-func (n *Node) CheckinSoon(r *protocol.Report) (status int, orders protocol.Orders, to string) {
-	status, orders, to = n.Checkin(r)
-	end := time.After(grantSoon)
-	for status == 503 {
-		n.mu.Lock()
-		_, granted := n.owner[r.Machine]
-		leads, seen := n.lead != nil && n.valid(n.now()), n.grantSeen
-		n.mu.Unlock()
-		if granted || !leads {
-			return status, orders, to
-		}
-		select {
-		case <-end:
-			return status, orders, to
-		case <-seen:
-		}
-		n.mu.Lock()
-		_, granted = n.owner[r.Machine]
-		n.mu.Unlock()
-		if granted {
-			return n.Checkin(r)
-		}
-	}
-	return status, orders, to
-}
-
 // Checkin answers a worker's report. status is 200, 421 or 503.
 func (n *Node) Checkin(r *protocol.Report) (status int, orders protocol.Orders, to string) {
 	n.mu.Lock()
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -149,8 +149,6 @@
 	if s := n.shards[i]; s != nil && ok {
 		s.setGrant(g.v, n.size, n.now())
 	}
-	close(n.grantSeen)
-	n.grantSeen = make(chan struct{})
 }
 
 func (n *Node) jobChanged(id string, data []byte, stamp uint64) error {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -47,7 +47,6 @@
 	shardRecs  map[int]entry[storage.Shard]
 	grantRecs  map[int]entry[storage.Grant]
 	owner      map[string]int // the shard of each granted machine
-	grantSeen  chan struct{}  // closed when a grant has changed
 	jobs       map[string]*jobRec
 	unread     map[string]bool // live jobs whose record can't be read
 	term       entry[storage.Term]
@@ -105,7 +104,7 @@
 	n := &Node{set: set, op: op, timing: set.Timing(op), state: state, cloud: cloud, peers: peers, direct: direct,
 		now: time.Now, cpu: processTime, kick: make(chan struct{}, 1), kickWrite: make(chan struct{}, 1), kickLead: make(chan struct{}, 1),
 		aliveNodes: map[string]entry[storage.Node]{}, shardRecs: map[int]entry[storage.Shard]{},
-		grantRecs: map[int]entry[storage.Grant]{}, owner: map[string]int{}, grantSeen: make(chan struct{}), jobs: map[string]*jobRec{}, unread: map[string]bool{}, sizes: map[string]placement.Vector{},
+		grantRecs: map[int]entry[storage.Grant]{}, owner: map[string]int{}, jobs: map[string]*jobRec{}, unread: map[string]bool{}, sizes: map[string]placement.Vector{},
 		teams: map[string]team{}, shards: map[int]*shard{}, others: map[string]*Status{},
 		ended: map[string]storage.End{}, refuse: map[kind]time.Time{}, gone: map[string]bool{}, bad: map[string]bool{}}
 	n.pending = map[string]pending{}
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return refuse(err)
 	}
-	status, orders, to := s.Node.CheckinSoon(r)
+	status, orders, to := s.Node.Checkin(r)
 	switch status {
 	case http.StatusOK:
 		return status, orders
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -476,7 +476,7 @@
 		})
 		time.Sleep(4 * time.Second)
 	} else if n != nil && !cut {
-		status, orders, answerTo = n.CheckinSoon(r)
+		status, orders, answerTo = n.Checkin(r)
 		time.Sleep(time.Duration(1+w.intn(30)) * time.Millisecond)
 		if w.chance(0.02) { // the answer is lost
 			time.Sleep(4 * time.Second)
