Refuse jobs whose record could not be kept; test the limits of size

A job with a very long list of types was written, refused by the state service as over value_kb, and answered with 503 for ever. It now gets 422. Tests: a draft against every limit, the division of a team's room, a full shard that gives way, and the meter of the processor.

--- /dev/null
+++ b/internal/coordination/size_test.go
@@ -0,0 +1,131 @@
+package coordination
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// A draft takes machines until one more would be over a limit of the state
+// service, and what it holds then is within all of them.
+func TestDraftKeepsLimits(t *testing.T) {
+	for _, c := range []struct {
+		valueKB      float64
+		ops, perName int
+	}{{1, 4, 11}, {16, 4, 11}, {16, 12, 100}, {64, 12, 11}} {
+		w := newWorld(1, nil)
+		st := &w.set.Deployment.State
+		st.ValueKB, st.TxnOps = c.valueKB, c.ops
+		n := New(w.set, w.set.Defaults(), nil, nil, nil, nil)
+		const shards = 6
+		d := newDraft(n)
+		taken, refused := 0, 0
+		for i := range 12000 {
+			k := &rented{id: fmt.Sprintf("%0*d", c.perName, i), kind: kind{"small", "a", true}}
+			if !d.takes(i%shards, k) {
+				refused++
+				continue
+			}
+			taken++
+			d.add(i%shards, storage.Block{Machine: k.id, Breed: "small", Zone: "a", Spot: true, Term: 1 << 40, At: 1.8e9})
+		}
+		if taken == 0 || refused == 0 {
+			t.Fatalf("%+v: %d taken, %d refused", c, taken, refused)
+		}
+		total := 0
+		for i, g := range d.grants {
+			raw, _ := json.Marshal(g)
+			total += len(raw)
+			if len(raw) > int(c.valueKB*1024) {
+				t.Errorf("%+v: %d bytes for shard %d", c, len(raw), i)
+			}
+		}
+		if total > protocol.MaxBody || len(d.grants)+1 > c.ops {
+			t.Errorf("%+v: %d bytes in %d grants", c, total, len(d.grants))
+		}
+	}
+}
+
+// A team's room is divided by what the shards want, never to more than it is.
+func TestFairPart(t *testing.T) {
+	limit := storage.Amount{Cores: 100}
+	for _, c := range []struct{ want, all, fair float64 }{{30, 90, 30}, {100, 100, 100}, {300, 400, 75}, {100, 400, 25}, {0, 0, 0}} {
+		if got := fairPart(storage.Amount{Cores: c.want}, storage.Amount{Cores: c.all}, limit).Cores; got != c.fair {
+			t.Errorf("wants %g of %g: %g, not %g", c.want, c.all, got, c.fair)
+		}
+	}
+}
+
+// A shard that is always full gives way once another is short: tasks that end
+// are not followed by others beyond its fair part.
+func TestFullShardGivesWay(t *testing.T) {
+	now := time.Now()
+	w := newWorld(1, nil)
+	n := New(w.set, w.set.Defaults(), nil, nil, nil, nil)
+	s, p := busyShard(10, now)
+	p.teams = map[string]team{"red": {limit: storage.Amount{Cores: 80}}}
+	n.teams = p.teams
+	s.shares = map[string]storage.Amount{"red": {Cores: 80}}
+	s.plan(p, true, now)
+	n.shards[0] = s
+	n.grantRecs[0] = entry[storage.Grant]{storage.Grant{Shares: s.shares}, 1}
+	if s.used["red"].Cores != 80 {
+		t.Fatalf("uses %v of 80", s.used["red"])
+	}
+	want := s.wanted["red"].Cores
+	n.others["n1"] = &Status{Shards: []ShardStatus{{Index: 1, Wanted: map[string]storage.Amount{"red": {Cores: want}}}}}
+	n.capShares(s)
+	for _, m := range s.sorted() {
+		for _, r := range m.runs {
+			s.drop(r)
+			break
+		}
+		s.fill(m, p.teams)
+	}
+	if used := s.used["red"].Cores; used > 75 {
+		t.Errorf("uses %g, though half is another's", used)
+	}
+	n.others["n1"].Shards[0].Wanted = nil
+	n.capShares(s)
+	for _, m := range s.sorted() {
+		s.fill(m, p.teams)
+	}
+	if used := s.used["red"].Cores; used != 80 {
+		t.Errorf("uses %g, though nobody else wants any", used)
+	}
+}
+
+// A controller is too busy by what it has been seen to use of its share.
+func TestMeter(t *testing.T) {
+	var m meter
+	at := time.Now()
+	used := time.Duration(0)
+	for range 20 {
+		m.read(at, used, 0.1)
+		at, used = at.Add(meterEvery), used+meterEvery/20
+	}
+	if m.busy < 0.45 || m.busy > 0.55 {
+		t.Errorf("a twentieth of the time is half of a tenth, not %g", m.busy)
+	}
+}
+
+// A job whose record would be over the state service's limit is refused for
+// good instead of being asked for again and again.
+func TestJobTooLongToKeep(t *testing.T) {
+	n := New(newWorld(1, nil).set, newWorld(1, nil).set.Defaults(), nil, nil, nil, nil)
+	rec := storage.Job{Spec: protocol.Job{ID: "wk-1", Breeds: []string{strings.Repeat("x", 3000)}}}
+	if err := n.fitsRecord(rec); err != nil {
+		t.Error(err)
+	}
+	rec.Spec.Breeds = append(rec.Spec.Breeds, rec.Spec.Breeds[0])
+	var never *ErrNever
+	if err := n.fitsRecord(rec); !errors.As(err, &never) {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -57,6 +57,9 @@
 		return st, false, never
 	}
 	rec := storage.Job{Spec: *j, Shard: shard, AtMS: now.UnixMilli()}
+	if err := n.fitsRecord(rec); err != nil {
+		return st, false, err
+	}
 	_, err = n.state.MultiSoon(ctx, protocol.Txn{
 		When:   []protocol.Cond{{Path: storage.JobKey(j.ID)}, {Path: storage.EndedKey(j.ID)}},
 		Writes: []protocol.Write{{Put: storage.JobKey(j.ID), Data: rec}}})
@@ -75,6 +78,17 @@
 	return st, false, ErrUnsure
 }
 
+// fitsRecord refuses a job whose record could not be kept: a write that is over
+// the state service's limit would fail however often it is asked for. Most of
+// a value is left for what is done.
+func (n *Node) fitsRecord(rec storage.Job) error {
+	raw, err := json.Marshal(rec)
+	if most := int(n.set.Deployment.State.ValueKB * 1024 / 4); err != nil || len(raw) > most {
+		return &ErrNever{"body", fmt.Sprintf("%d bytes to keep, at most %d can be", len(raw), most)}
+	}
+	return nil
+}
+
 // canRun tells why a job can never run.
 func (n *Node) canRun(j *protocol.Job) error {
 	t, ok := n.teams[j.Team]
