--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -144,6 +144,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return // a timer of no time crashes the race detector in simulated time
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -204,7 +204,7 @@
 }
 
 func (s *Store) follow(ctx context.Context, under string, since uint64, wait time.Duration) (int, any) {
-	end := time.After(wait)
+	end := time.After(max(wait, time.Millisecond))
 	for {
 		s.mu.Lock()
 		var out protocol.Changes
@@ -217,7 +217,7 @@
 		}
 		changed, down := s.changed, s.down
 		s.mu.Unlock()
-		if len(out.Log) > 0 && !down {
+		if !down && (len(out.Log) > 0 || wait == 0) {
 			return 200, out
 		}
 		if down {
