--- a/cmd/reedtrack/main.go
+++ b/cmd/reedtrack/main.go
@@ -69,6 +69,16 @@
 	fmt.Printf("ucfit              a=%g b=%g c=%g\n", op.A, op.B, op.C)
 	fmt.Printf("shards             %d, each filled to %d machines before the next\n", op.Shards, op.Fill)
 	fmt.Printf("capacity           %d machines a shard by state.value_kb %g, %d in all\n", set.Capacity(), set.Deployment.State.ValueKB, op.Shards*set.Capacity())
+	limits, all := 0.0, len(set.Deployment.Teams) > 0
+	for _, team := range set.Deployment.Teams {
+		limits += team.CPUsMax
+		all = all && team.CPUsMax > 0
+	}
+	if all {
+		fmt.Printf("limits             %g processors in all by the teams' cpus_max\n", limits)
+	} else {
+		fmt.Printf("limits             none: not every team has a cpus_max\n")
+	}
 	fmt.Printf("idle-boots         %g\n", op.Idle)
 	fmt.Printf("holder-lease-s     %.3f, acts for %.3f s after a renewal\n", t.HolderLease.Seconds(), t.Act.Seconds())
 	fmt.Printf("worker is gone     after %.3f s of silence\n", t.WorkerGone.Seconds())
