--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,16 @@
 	Share   float64 `toml:"share"`
 }
 
+// Limits are what the state service takes.
+type Limits struct {
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// ValueBytes is the most that one value may hold.
+func (l Limits) ValueBytes() int { return min(int(l.ValueKB*1024), requestBytes) }
+
 // Settings is the platform's file. Fields it does not name are ignored.
 type Settings struct {
 	HostName string    `toml:"host_name"`
@@ -64,6 +74,7 @@
 			WriteRPS float64 `toml:"write_rps"`
 			ValueKB  float64 `toml:"value_kb"`
 			TxnOps   int     `toml:"txn_ops"`
+			Next     *Limits `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -167,12 +178,17 @@
 			return bad(field, "must be above 0")
 		}
 	}
-	if d.State.TxnOps < 4 {
-		return bad("deployment.state.txn_ops", "must be at least 4")
-	}
-	if s.Capacity() < 1 {
-		return bad("deployment.state.value_kb", fmt.Sprintf("%g KiB must hold the shares of %d teams and a machine: %d bytes are missing",
-			d.State.ValueKB, len(d.Teams), machineBytes-s.Capacity()*machineBytes))
+	for field, l := range map[string]Limits{"deployment.state": s.limits(), "deployment.state.next": s.Limits()} {
+		if !(l.WriteRPS > 0 && l.ValueKB > 0) || math.IsInf(l.WriteRPS, 0) || math.IsInf(l.ValueKB, 0) {
+			return bad(field, "write_rps and value_kb must be above 0")
+		}
+		if l.TxnOps < 4 {
+			return bad(field+".txn_ops", "must be at least 4")
+		}
+		if s.recordRoom(l) < machineBytes {
+			return bad(field+".value_kb", fmt.Sprintf("%g KiB must hold the shares of %d teams and a machine: %d bytes are missing",
+				l.ValueKB, len(d.Teams), machineBytes-s.recordRoom(l)))
+		}
 	}
 	if d.Limits.MaxSockets < 0 {
 		return bad("deployment.limits.max_sockets", "must not be negative")
@@ -180,6 +196,21 @@
 	return nil
 }
 
+func (s *Settings) limits() Limits {
+	st := &s.Deployment.State
+	return Limits{st.WriteRPS, st.ValueKB, st.TxnOps}
+}
+
+// Limits are the lower of what the state service takes now and what it will
+// take from some moment on.
+func (s *Settings) Limits() Limits {
+	l := s.limits()
+	if n := s.Deployment.State.Next; n != nil {
+		l = Limits{min(l.WriteRPS, n.WriteRPS), min(l.ValueKB, n.ValueKB), min(l.TxnOps, n.TxnOps)}
+	}
+	return l
+}
+
 // Seconds turns a number of seconds into a duration.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/netip"
 	"os"
 	"strings"
@@ -76,13 +77,28 @@
 // requestBytes is the most that the state service takes in one request.
 const requestBytes = 64 << 10
 
-// Capacity is how many machines one shard's record can hold.
-func (s *Settings) Capacity() int {
-	room := min(int(s.Deployment.State.ValueKB*1024), requestBytes) - 2*recordBytes
+// Capacity is how many machines one shard's record can hold while a shard has
+// one record, as in a deployment that some controller of a former version is
+// part of.
+func (s *Settings) Capacity() int { return s.recordRoom(s.limits()) / machineBytes }
+
+// recordRoom is what the teams' shares leave of a shard's record.
+func (s *Settings) recordRoom(l Limits) int {
+	room := l.ValueBytes() - 2*recordBytes
 	for _, t := range s.Deployment.Teams {
 		room -= len(t.Name) + teamBytes
 	}
-	return room / machineBytes
+	return room
+}
+
+// Machines is how many machines a shard can have once its record is split:
+// each has a connection open to the shard's holder, and a quarter of the
+// sockets is left for users, links and the services.
+func (s *Settings) Machines() int {
+	if n := s.Deployment.Limits.MaxSockets; n > 0 {
+		return max(1, n*3/4)
+	}
+	return math.MaxInt32
 }
 
 // LoadOperator reads the XML file at path over the defaults; no path, only
@@ -145,9 +161,8 @@
 			return op, &FieldError{file, "status-listen", "not an address with a port: " + op.Status}
 		}
 	}
-	if op.Fill < 1 || op.Fill > s.Capacity() {
-		return op, &FieldError{file, "fill-machines", fmt.Sprintf("must be from 1 to %d, what a record of state.value_kb %g holds",
-			s.Capacity(), s.Deployment.State.ValueKB)}
+	if op.Fill < 1 || op.Fill > s.Machines() {
+		return op, &FieldError{file, "fill-machines", fmt.Sprintf("must be from 1 to %d, three quarters of limits.max_sockets", s.Machines())}
 	}
 	if !(op.Idle >= 0 && op.Idle <= 1000) {
 		return op, &FieldError{file, "idle-boots", "must be from 0 to 1000"}
--- a/internal/coordination/division.go
+++ b/internal/coordination/division.go
@@ -82,6 +82,9 @@
 		teams[x.team] = t
 	}
 	for _, jr := range n.jobs {
+		if jr.waiting() {
+			continue
+		}
 		add(jr.rec.Shard, n.loadOf(&jr.rec.Spec, jr.rec.Spec.Tasks-jr.done))
 	}
 	for id, p := range n.pending {
@@ -141,7 +144,9 @@
 			best = i
 		}
 	}
-	n.pending[j.ID] = pending{mine, best, now}
+	if len(j.Waits) == 0 {
+		n.pending[j.ID] = pending{mine, best, now}
+	}
 	return best
 }
 
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"math"
 	"time"
 
 	"reedtrack/internal/placement"
@@ -17,40 +18,92 @@
 	n.wake()
 }
 
-// apply takes in one change of the state service's live records.
-func (n *Node) apply(path string, data []byte, stamp uint64) {
+// applyAll takes in changes of the state service's live records, under one
+// lock: a transaction of several records shows whole or not at all.
+func (n *Node) applyAll(batch []protocol.Change) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var err error
-	if name, ok := storage.CutAlive(path); ok {
-		err = put(n.aliveNodes, name, data, stamp)
-	} else if i, ok := storage.CutShard(path); ok {
-		if err = put(n.shardRecs, i, data, stamp); err == nil {
-			n.shardChanged(i)
+	grants, jobs := map[int]bool{}, map[string]bool{}
+	for _, c := range batch {
+		n.seen = max(n.seen, c.Stamp)
+		path, data := c.Put, []byte(c.Data)
+		if path == "" {
+			path, data = c.Delete, nil
 		}
-	} else if i, ok := storage.CutGrant(path); ok {
-		was := n.grantRecs[i].v.Blocks
-		if err = put(n.grantRecs, i, data, stamp); err == nil {
-			n.grantChanged(i, was)
+		if err := n.applyOne(path, data, c.Stamp, grants, jobs); err != nil {
+			// Left alone: what cannot be read is never taken as absent.
+			slog.Error("record can't be read", "key", path, "err", err)
 		}
-	} else if id, ok := storage.CutJob(path); ok {
-		if err = n.jobChanged(id, data, stamp); err != nil {
+	}
+	for i := range grants {
+		n.grantChanged(i)
+	}
+	for id := range jobs {
+		n.partsChanged(id)
+	}
+	n.holdShards()
+	n.resolve()
+}
+
+// apply takes in one change.
+func (n *Node) apply(path string, data []byte, stamp uint64) {
+	c := protocol.Change{Put: path, Data: data, Stamp: stamp}
+	if data == nil {
+		c = protocol.Change{Delete: path, Stamp: stamp}
+	}
+	n.applyAll([]protocol.Change{c})
+}
+
+func (n *Node) applyOne(path string, data []byte, stamp uint64, grants map[int]bool, jobs map[string]bool) error {
+	if name, ok := storage.CutAlive(path); ok {
+		return put(n.aliveNodes, name, data, stamp)
+	}
+	if i, ok := storage.CutShard(path); ok {
+		return put(n.shardRecs, i, data, stamp)
+	}
+	if i, ok := storage.CutGrant(path); ok {
+		grants[i] = true
+		return put(n.heads, i, data, stamp)
+	}
+	if i, k, ok := storage.CutPiece(path); ok {
+		grants[i] = true
+		return n.applyPiece(i, k, data, stamp)
+	}
+	if id, ok := storage.CutJob(path); ok {
+		err := n.jobChanged(id, data, stamp)
+		if err != nil {
 			n.unread[id] = true
 		}
-	} else if path == storage.LeaderKey {
-		err = one(&n.leaderRec, data, stamp)
-	} else if path == storage.TermKey {
-		err = one(&n.term, data, stamp)
-	} else if path == storage.CatalogKey && data != nil {
+		return err
+	}
+	if id, from, ok := storage.CutPart(path); ok {
+		jobs[id] = true
+		if n.parts[id] == nil {
+			n.parts[id] = map[int]entry[storage.Part]{}
+		}
+		err := put(n.parts[id], from, data, stamp)
+		if len(n.parts[id]) == 0 {
+			delete(n.parts, id)
+		}
+		return err
+	}
+	if mine, err := n.applyForm(path, data, stamp); mine {
+		return err
+	}
+	switch {
+	case path == storage.LeaderKey:
+		return one(&n.leaderRec, data, stamp)
+	case path == storage.TermKey:
+		return one(&n.term, data, stamp)
+	case path == storage.CatalogKey && data != nil:
 		var c protocol.Catalog
-		if err = json.Unmarshal(data, &c); err == nil {
+		err := json.Unmarshal(data, &c)
+		if err == nil {
 			n.setCatalog(c.Breeds)
 		}
+		return err
 	}
-	if err != nil {
-		// Left alone: what cannot be read is never taken as absent.
-		slog.Error("record can't be read", "key", path, "err", err)
-	}
+	return nil
 }
 
 func put[K comparable, T any](to map[K]entry[T], k K, data []byte, stamp uint64) error {
@@ -135,19 +188,35 @@
 	slog.Info("shard taken up", "shard", i, "term", s.term, "blocks", len(s.machines), "jobs", len(s.jobs))
 }
 
-// grantChanged follows a grant that held other blocks before.
-func (n *Node) grantChanged(i int, was []storage.Block) {
-	for _, b := range was {
+// grantChanged follows a grant, whichever of its records has changed.
+func (n *Node) grantChanged(i int) {
+	was := n.grantRecs[i]
+	head, ok := n.heads[i]
+	g, readable := n.compose(i)
+	if !readable {
+		return
+	}
+	for _, b := range was.v.Blocks {
 		if n.owner[b.Machine] == i {
 			delete(n.owner, b.Machine)
 		}
 	}
-	g, ok := n.grantRecs[i]
-	for _, b := range g.v.Blocks {
+	if !ok {
+		delete(n.grantRecs, i)
+		return
+	}
+	n.grantRecs[i] = entry[storage.Grant]{g, head.stamp}
+	for _, b := range g.Blocks {
 		n.owner[b.Machine] = i
 	}
-	if s := n.shards[i]; s != nil && ok {
-		s.setGrant(g.v, n.size, n.now())
+	if s := n.shards[i]; s != nil {
+		kept := s.shares
+		s.setGrant(g, n.size, n.now())
+		if head.stamp == was.stamp {
+			// Only the blocks have changed. A write that lowers the shares
+			// may still be under way: they rise with a newer record alone.
+			s.shares = kept
+		}
 	}
 }
 
@@ -167,14 +236,17 @@
 	if err := json.Unmarshal(data, &jr.rec); err != nil {
 		return err
 	}
-	done, err := storage.ParseSet(jr.rec.Done, jr.rec.Spec.Tasks)
+	done, err := n.doneOf(jr)
 	if err != nil {
 		return err
 	}
 	jr.done = done.Len()
-	if was := n.jobs[id]; was != nil && was.rec.Shard != jr.rec.Shard {
-		if s := n.shards[was.rec.Shard]; s != nil {
-			s.endJob(id) // moved: nothing of it is placed
+	if was := n.jobs[id]; was != nil {
+		jr.wait = was.wait
+		if was.rec.Shard != jr.rec.Shard {
+			if s := n.shards[was.rec.Shard]; s != nil {
+				s.endJob(id) // moved: nothing of it is placed
+			}
 		}
 	}
 	n.jobs[id] = jr
@@ -184,13 +256,43 @@
 	return nil
 }
 
+// doneOf is what the records show as done of a job: its own, and its parts.
+func (n *Node) doneOf(jr *jobRec) (storage.Set, error) {
+	most := jr.rec.Spec.Tasks
+	done, err := storage.ParseSet(jr.rec.Done, most)
+	for from, p := range n.parts[jr.rec.Spec.ID] {
+		if err == nil && p.v.From == from {
+			err = done.AddPart(p.v.Done, from, most)
+		}
+	}
+	return done, err
+}
+
+// partsChanged follows the parts of a job.
+func (n *Node) partsChanged(id string) {
+	jr := n.jobs[id]
+	if jr == nil {
+		return
+	}
+	done, err := n.doneOf(jr)
+	if err != nil {
+		slog.Error("record can't be read", "key", storage.PartKey(id, 0), "err", err)
+		return
+	}
+	jr.done = done.Len()
+}
+
 func (n *Node) newJob(jr *jobRec) *job {
 	sp := jr.rec.Spec
-	done, _ := storage.ParseSet(jr.rec.Done, sp.Tasks)
+	done, _ := n.doneOf(jr)
 	j := &job{id: sp.ID, spec: sp, stamp: jr.stamp, shard: jr.rec.Shard, atMS: jr.rec.AtMS, done: done, saved: done.Len(),
 		need: placement.Vector{sp.Cores, sp.Cards, sp.RAM}, came: n.now()}
-	// The time of day moves about; waiting is only measured from the record.
-	j.at = n.now().Add(min(0, time.Duration(jr.rec.AtMS-n.now().UnixMilli())*time.Millisecond))
+	j.at = n.since(jr.rec.AtMS)
+	j.level, j.by = sp.Level(), math.Inf(1)
+	if sp.DueS != nil {
+		j.by = float64(jr.rec.AtMS) + 1000**sp.DueS
+	}
+	j.held = len(sp.Waits) > 0 // until the ends of those are known
 	if len(sp.Breeds) > 0 {
 		j.breeds = map[string]bool{}
 		for _, b := range sp.Breeds {
@@ -199,3 +301,10 @@
 	}
 	return j
 }
+
+// since turns a time of day into one of the steady clock. The time of day moves
+// about; waiting is only measured from the record.
+func (n *Node) since(ms int64) time.Time {
+	now := n.now()
+	return now.Add(min(0, time.Duration(ms-now.UnixMilli())*time.Millisecond))
+}
--- a/internal/coordination/giveback.go
+++ b/internal/coordination/giveback.go
@@ -44,51 +44,49 @@
 	var changes []change
 	n.mu.Lock()
 	now := n.now()
+	lim := n.limits()
 	for i, s := range n.shards {
 		g, ok := n.grantRecs[i]
 		// A write that has succeeded is first seen in the record: another
 		// one before then would only fail.
 		// And they are gathered: with hundreds of machines something could be
 		// given back all the time, and job records have to be written too.
-		if !ok || s.writes || g.stamp < s.wrote && now.Sub(s.wroteAt) < unseen || now.Sub(s.triedAt) < giveBackEvery {
+		if !ok || !n.settledForm(i) || s.writes || n.seen < s.wrote && now.Sub(s.wroteAt) < unseen || now.Sub(s.triedAt) < giveBackEvery {
 			continue
 		}
-		short := n.shortTeams(i)
-		next := storage.Grant{Shares: map[string]storage.Amount{}}
+		txn := protocol.Txn{When: []protocol.Cond{{Path: storage.ShardKey(i), Stamp: s.stamp}}}
+		next := storage.Grant{Of: g.v.Of}
 		var out []string
-		for _, b := range g.v.Blocks {
-			if m := s.machines[b.Machine]; m != nil && m.release {
-				out = append(out, b.Machine)
-			} else {
-				next.Blocks = append(next.Blocks, b)
-			}
+		next.Blocks, out = s.keptBlocks(g.v.Blocks)
+		shares, lowered := n.lowerShares(s, g.v.Shares)
+		next.Shares = shares
+		if g.v.Of == 0 && len(out) > 0 || lowered {
+			txn.When = append(txn.When, protocol.Cond{Path: storage.GrantKey(i), Stamp: g.stamp})
+			txn.Writes = append(txn.Writes, protocol.Write{Put: storage.GrantKey(i), Data: next})
+			// Lower at once: what is being given back is not used any more,
+			// whether or not the answer arrives. Nor does a later write raise
+			// it: the earlier one may still be applied, and the room be granted
+			// to another. Only a newer record does.
+			s.shares = next.Shares
 		}
-		lowered := false
-		unknown := s.unknown()
-		for t, share := range g.v.Shares {
-			if short[t] {
-				keep := n.keepShare(s, t, share, unknown)
-				// Little by little is not worth a write each.
-				step := n.teams[t].limit.Cores / float64(16*n.op.Shards)
-				if share.Cores-keep.Cores > step || share.Cards > keep.Cards || keep.Cores == 0 && share.Cores > 0 {
-					lowered = true
-					share = keep
+		if g.v.Of != 0 {
+			out = nil
+			for k, p := range n.pieces[i] {
+				if p.v.Of != g.v.Of || len(txn.Writes) == lim.TxnOps || (len(txn.Writes)+2)*lim.ValueBytes() > protocol.MaxBody {
+					continue
+				}
+				if kept, gone := s.keptBlocks(p.v.Blocks); len(gone) > 0 {
+					txn.When = append(txn.When, n.pieceCond(i, k))
+					txn.Writes = append(txn.Writes, protocol.Write{Put: storage.PieceKey(i, k), Data: storage.Piece{Of: p.v.Of, Blocks: kept}})
+					out = append(out, gone...)
 				}
 			}
-			next.Shares[t] = least(share, s.shares[t])
 		}
-		if len(out) == 0 && !lowered {
+		if len(txn.Writes) == 0 {
 			continue
 		}
-		// Lower at once: what is being given back is not used any more,
-		// whether or not the answer arrives. Nor does a later write raise
-		// it: the earlier one may still be applied, and the room be granted
-		// to another. Only a newer record does.
-		s.shares = next.Shares
 		s.writes, s.triedAt = true, now
-		changes = append(changes, change{s, protocol.Txn{
-			When:   []protocol.Cond{{Path: storage.ShardKey(i), Stamp: s.stamp}, {Path: storage.GrantKey(i), Stamp: g.stamp}},
-			Writes: []protocol.Write{{Put: storage.GrantKey(i), Data: next}}}, out})
+		changes = append(changes, change{s, txn, out})
 	}
 	n.mu.Unlock()
 	for _, c := range changes {
@@ -107,6 +105,39 @@
 	}
 }
 
+// keptBlocks divides blocks into those that are kept and the names of those
+// that are given back.
+func (s *shard) keptBlocks(blocks []storage.Block) (kept []storage.Block, out []string) {
+	for _, b := range blocks {
+		if m := s.machines[b.Machine]; m != nil && m.release {
+			out = append(out, b.Machine)
+		} else {
+			kept = append(kept, b)
+		}
+	}
+	return kept, out
+}
+
+// lowerShares are a shard's shares without what it gives back, and whether that
+// is worth a write.
+func (n *Node) lowerShares(s *shard, shares map[string]storage.Amount) (next map[string]storage.Amount, lowered bool) {
+	short, unknown := n.shortTeams(s.index), s.unknown()
+	next = map[string]storage.Amount{}
+	for t, share := range shares {
+		if short[t] {
+			keep := n.keepShare(s, t, share, unknown)
+			// Little by little is not worth a write each.
+			step := n.teams[t].limit.Cores / float64(16*n.op.Shards)
+			if share.Cores-keep.Cores > step || share.Cards > keep.Cards || keep.Cores == 0 && share.Cores > 0 {
+				lowered = true
+				share = keep
+			}
+		}
+		next[t] = least(share, s.shares[t])
+	}
+	return next, lowered
+}
+
 func least(a, b storage.Amount) storage.Amount {
 	return storage.Amount{Cores: min(a.Cores, b.Cores), Cards: min(a.Cards, b.Cards)}
 }
--- a/internal/coordination/grants.go
+++ b/internal/coordination/grants.go
@@ -62,18 +62,19 @@
 	if !n.lead.rebuilt(now) {
 		return nil, ""
 	}
+	if n.switched() {
+		if split, what := n.splitTxn(); split != nil {
+			return split, what
+		}
+	}
 	d := newDraft(n)
 	stats := n.shardStats(mine)
 	what := n.grantBlocks(d, stats, next.N, now)
 	what += n.grantShares(d, stats)
-	if len(d.grants) == 0 {
+	if d.changed() == 0 {
 		return nil, ""
 	}
-	for _, i := range slices.Sorted(maps.Keys(d.grants)) {
-		txn.When = append(txn.When, protocol.Cond{Path: storage.GrantKey(i), Stamp: n.grantRecs[i].stamp},
-			protocol.Cond{Path: storage.ShardKey(i), Stamp: n.shardRecs[i].stamp})
-		txn.Writes = append(txn.Writes, protocol.Write{Put: storage.GrantKey(i), Data: d.grants[i]})
-	}
+	d.into(txn)
 	return txn, what
 }
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -176,6 +176,8 @@
 		n.mu.Unlock()
 		return 0
 	}
+	lim := n.limits()
+	n.state.Limit(lim.WriteRPS, n.set.Deployment.Count)
 	n.state.Lead(n.me(n.leaderRec.v))
 	if !n.me(n.leaderRec.v) {
 		n.lead = nil
@@ -205,7 +207,7 @@
 	var what string
 	// The next grant names the term of the last one: it waits for that to
 	// show in the copy here.
-	if n.term.stamp >= n.lead.wrote || now.Sub(n.lead.wroteAt) > unseen {
+	if n.seen >= n.lead.wrote || now.Sub(n.lead.wroteAt) > unseen {
 		txn, what = n.grantTxn(st, now)
 	}
 	l := n.lead
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -69,7 +69,11 @@
 func (n *Node) moveOf(s *shard, j *job, to int) move {
 	rec := n.jobs[j.id].rec
 	rec.Shard = to
-	rec.Done = j.done.Fit(int(n.set.Deployment.State.ValueKB*1024) * 3 / 4)
+	if n.switched() {
+		rec.Done = "" // kept in parts
+	} else {
+		rec.Done = j.done.Fit(int(n.set.Deployment.State.ValueKB*1024) * 3 / 4)
+	}
 	return move{s, j, to, protocol.Txn{
 		When:   []protocol.Cond{{Path: storage.ShardKey(s.index), Stamp: s.stamp}, {Path: storage.JobKey(j.id), Stamp: j.stamp}},
 		Writes: []protocol.Write{{Put: storage.JobKey(j.id), Data: rec}}}}
@@ -87,6 +91,9 @@
 		if s.jobs[j.id] != j || len(j.runs) > 0 || j.unsure || j.ended || j.saving || j.leaving || j.waiting() == 0 || n.jobs[j.id] == nil {
 			continue
 		}
+		if n.switched() && len(n.unsavedParts(j)) > 0 {
+			continue // the move would lose what only the old record tells
+		}
 		// What the shards have and wait for is known from records and words of
 		// a while ago: a job that has just come is not sent on.
 		if now.Sub(j.came) < settle {
@@ -120,7 +127,7 @@
 // fullShard tells whether a shard's record has no room for more machines than
 // it has and those on their way.
 func (n *Node) fullShard(i, coming int) bool {
-	return len(n.grantRecs[i].v.Blocks)+coming >= n.set.Capacity()
+	return len(n.grantRecs[i].v.Blocks)+coming >= n.capacity()
 }
 
 // openShard picks the shard that lacks least among those with room in their
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -27,25 +27,32 @@
 	peers  map[string]Peer
 	direct Direct
 	now    func() time.Time
-	cpu    func() time.Duration // processor time used so far
+	cpu    func() time.Duration                // processor time used so far
+	stored func(id string) (storage.End, bool) // a job's end, if the state service is known to have it
 	// opening is a session being opened; only the lease loop uses it.
 	opening struct {
 		hold uint64
 		sent time.Time
 	}
 
-	mu                        sync.Mutex
-	kick, kickWrite, kickLead chan struct{}
-	weighed                   time.Time // last thorough plan
-	session                   uint64
-	validTil                  time.Time // this controller may act until then
-	synced                    time.Time // everything changed before then is in the copies below
-	loaded                    bool
-	acted                     bool // as last logged
+	mu                                  sync.Mutex
+	kick, kickWrite, kickLead, kickWait chan struct{}
+	weighed                             time.Time // last thorough plan
+	session                             uint64
+	validTil                            time.Time // this controller may act until then
+	synced                              time.Time // everything changed before then is in the copies below
+	loaded                              bool
+	acted                               bool // as last logged
 
 	aliveNodes map[string]entry[storage.Node]
 	shardRecs  map[int]entry[storage.Shard]
-	grantRecs  map[int]entry[storage.Grant]
+	grantRecs  map[int]entry[storage.Grant] // as composed of the two below
+	heads      map[int]entry[storage.Grant]
+	pieces     map[int]map[int]*pieceRec
+	parts      map[string]map[int]entry[storage.Part] // what is done of live jobs
+	marks      map[string]entry[storage.Mark]
+	form       entry[storage.Form]
+	seen       uint64         // the newest change that the copies show
 	owner      map[string]int // the shard of each granted machine
 	jobs       map[string]*jobRec
 	unread     map[string]bool // live jobs whose record can't be read
@@ -66,6 +73,7 @@
 	endedQ  []string
 	refuse  map[kind]time.Time
 	gone    map[string]bool
+	unknown map[string]bool // jobs that others wait for and whose end has to be read
 	bad     map[string]bool // machines found faulty, for the leader to replace
 }
 
@@ -77,7 +85,8 @@
 type jobRec struct {
 	rec   storage.Job
 	stamp uint64
-	done  int // how many tasks the record shows as done
+	done  int // how many tasks the records show as done
+	wait  wait
 }
 
 // Peer calls another controller.
@@ -102,12 +111,15 @@
 // New returns a controller that has not started.
 func New(set *config.Settings, op config.Operator, state *storage.Client, cloud Cloud, peers map[string]Peer, direct Direct) *Node {
 	n := &Node{set: set, op: op, timing: set.Timing(op), state: state, cloud: cloud, peers: peers, direct: direct,
-		now: time.Now, cpu: processTime, kick: make(chan struct{}, 1), kickWrite: make(chan struct{}, 1), kickLead: make(chan struct{}, 1),
+		now: time.Now, cpu: processTime, kick: make(chan struct{}, 1), kickWrite: make(chan struct{}, 1), kickLead: make(chan struct{}, 1), kickWait: make(chan struct{}, 1),
+		unknown:    map[string]bool{},
 		aliveNodes: map[string]entry[storage.Node]{}, shardRecs: map[int]entry[storage.Shard]{},
-		grantRecs: map[int]entry[storage.Grant]{}, owner: map[string]int{}, jobs: map[string]*jobRec{}, unread: map[string]bool{}, sizes: map[string]placement.Vector{},
+		grantRecs: map[int]entry[storage.Grant]{}, heads: map[int]entry[storage.Grant]{}, pieces: map[int]map[int]*pieceRec{},
+		parts: map[string]map[int]entry[storage.Part]{}, marks: map[string]entry[storage.Mark]{}, owner: map[string]int{}, jobs: map[string]*jobRec{}, unread: map[string]bool{}, sizes: map[string]placement.Vector{},
 		teams: map[string]team{}, shards: map[int]*shard{}, others: map[string]*Status{},
 		ended: map[string]storage.End{}, refuse: map[kind]time.Time{}, gone: map[string]bool{}, bad: map[string]bool{}}
 	n.pending = map[string]pending{}
+	n.stored = func(id string) (storage.End, bool) { e, ok := n.ended[id]; return e, ok }
 	for _, s := range set.Siblings {
 		if s.Name < set.HostName {
 			n.number++
@@ -122,7 +134,7 @@
 
 // Run runs the controller's loops until ctx ends.
 func (n *Node) Run(ctx context.Context) {
-	rep := &storage.Replica{Client: n.state, Apply: n.apply, Synced: n.onSync, Poll: n.op.HolderLease / 4, Rest: storage.WatchRest(n.set.Deployment.State.RPS, n.set.Deployment.Count)}
+	rep := &storage.Replica{Client: n.state, Apply: n.applyAll, Synced: n.onSync, Poll: n.op.HolderLease / 4, Rest: storage.WatchRest(n.set.Deployment.State.RPS, n.set.Deployment.Count)}
 	var wg sync.WaitGroup
 	for _, loop := range []func(context.Context){n.leaseLoop, rep.Run, n.cloudLoop} {
 		wg.Go(func() { loop(ctx) })
@@ -130,6 +142,7 @@
 	wg.Go(func() { every(ctx, n.kick, n.tick) })
 	wg.Go(func() { every(ctx, n.kickWrite, n.write) })
 	wg.Go(func() { every(ctx, n.kickLead, n.leadTick) })
+	wg.Go(func() { every(ctx, n.kickWait, n.waitTurn) })
 	for name, p := range n.peers {
 		wg.Go(func() { n.gossipLoop(ctx, name, p) })
 	}
@@ -140,7 +153,7 @@
 // service holds by its own clock, counted from when the renewal was sent, and
 // it knows of every change up to a while ago.
 func (n *Node) valid(now time.Time) bool {
-	return n.session != 0 && now.Before(n.validTil) && n.loaded && now.Sub(n.synced) < n.timing.Act
+	return n.session != 0 && n.knowsForm() && now.Before(n.validTil) && n.loaded && now.Sub(n.synced) < n.timing.Act
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -109,7 +109,7 @@
 		if !m.free().Fits(j.need) {
 			continue
 		}
-		if s.jobs[j.id] != j || j.unsure || j.leaving || j.spec.Group() || j.waiting() == 0 || !j.takes(m) {
+		if s.jobs[j.id] != j || j.unsure || j.held || j.leaving || j.spec.Group() || j.waiting() == 0 || !j.takes(m) {
 			continue
 		}
 		for n := s.room(j, teams, unknown); n > 0 && m.free().Fits(j.need) && j.zoneOK(m.block.Zone); n-- {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -133,13 +134,13 @@
 	if j.within {
 		return waited > 2*p.report
 	}
-	if j.spec.Level() < protocol.High {
+	if j.level < protocol.High {
 		return false
 	}
-	if j.spec.DueS == nil {
-		return j.spec.Level() == protocol.Prod || waited > 4*p.report
+	if math.IsInf(j.by, 1) {
+		return j.level == protocol.Prod || waited > 4*p.report
 	}
-	slack := *j.spec.DueS - waited.Seconds() - j.spec.GuessS
+	slack := (j.by-float64(now.UnixMilli()))/1000 - j.spec.GuessS
 	return slack > 0 && slack < 4*p.report.Seconds()
 }
 
@@ -152,7 +153,7 @@
 		if r.halt || v.ended {
 			continue
 		}
-		lower := v.spec.Level() < j.spec.Level() && (j.within || !v.within)
+		lower := v.level < j.level && (j.within || !v.within)
 		g := p.teams[v.spec.Team].guarantee
 		beyond := j.within && !v.within && v.spec.Team != j.spec.Team &&
 			p.usage[v.spec.Team].Cores-v.need[0] >= g.Cores && p.usage[v.spec.Team].Cards-v.need[1] >= g.Cards
--- a/internal/coordination/progress.go
+++ b/internal/coordination/progress.go
@@ -22,6 +22,27 @@
 	done int
 	txn  protocol.Txn
 	end  *storage.End
+	// parts are what is written of what is done; all other parts stand.
+	parts []storage.Part
+}
+
+// unsavedParts are the parts of what is done of a job that its records don't
+// tell of. The job's own record, which says what the job is, stays as it was:
+// a former version's late write of it loses nothing.
+func (n *Node) unsavedParts(j *job) []storage.Part {
+	var out []storage.Part
+	width := storage.PartWidth(n.limits().ValueBytes())
+	for from := 0; from < j.spec.Tasks; from += width {
+		to := min(from+width, j.spec.Tasks)
+		var was storage.Set
+		if p, ok := n.parts[j.id][from]; ok {
+			was.AddPart(p.v.Done, from, j.spec.Tasks)
+		}
+		if j.done.Count(from, to) > was.Count(from, to) {
+			out = append(out, storage.Part{From: from, Done: j.done.Part(from, to)})
+		}
+	}
+	return out
 }
 
 // flush writes ended jobs and, as far as the budget allows it, how far jobs
@@ -42,7 +63,7 @@
 			when := []protocol.Cond{{Path: storage.ShardKey(s.index), Stamp: s.stamp}, {Path: storage.JobKey(j.id), Stamp: j.stamp}}
 			w := saving{j: j, done: j.done.Len()}
 			if j.complete() && !j.spec.Standing() {
-				w.end = &storage.End{Status: protocol.Done, Done: w.done}
+				w.end = n.newEnd(protocol.Done, w.done, &j.spec)
 				w.txn = protocol.Txn{When: when, Writes: []protocol.Write{{Delete: storage.JobKey(j.id)},
 					{Put: storage.EndedKey(j.id), Data: w.end}}}
 				ends = append(ends, w)
@@ -58,10 +79,20 @@
 	progress = progress[:min(len(progress), max(0, n.state.Spare()-2*len(ends)))]
 	for i := range progress {
 		w := &progress[i]
+		if n.switched() {
+			w.parts = n.unsavedParts(w.j)
+			w.parts = w.parts[:min(len(w.parts), n.limits().TxnOps, max(1, (protocol.MaxBody-around)/n.limits().ValueBytes()))]
+			for _, p := range w.parts {
+				w.txn.When = append(w.txn.When, protocol.Cond{Path: storage.PartKey(w.j.id, p.From), Stamp: n.parts[w.j.id][p.From].stamp})
+				w.txn.Writes = append(w.txn.Writes, protocol.Write{Put: storage.PartKey(w.j.id, p.From), Data: p})
+			}
+			continue
+		}
 		rec := n.jobs[w.j.id].rec
 		rec.Done = w.j.done.Fit(int(n.set.Deployment.State.ValueKB*1024) * 3 / 4)
 		w.txn.Writes = []protocol.Write{{Put: storage.JobKey(w.j.id), Data: rec}}
 	}
+	progress = slices.DeleteFunc(progress, func(w saving) bool { return len(w.txn.Writes) == 0 })
 	all := append(ends, progress...)
 	for _, w := range all {
 		w.j.saving, w.j.savedT = true, now
@@ -86,7 +117,21 @@
 	switch {
 	case err == nil && w.end != nil:
 		n.noteEnd(w.j.id, *w.end)
+		n.resolve() // what waited for it is free at once
+		n.wake()
 		slog.Debug("job done", "job", w.j.id)
+	case err == nil && w.parts != nil:
+		if n.parts[w.j.id] == nil {
+			n.parts[w.j.id] = map[int]entry[storage.Part]{}
+		}
+		for _, p := range w.parts {
+			if n.parts[w.j.id][p.From].stamp < rev {
+				n.parts[w.j.id][p.From] = entry[storage.Part]{p, rev}
+			}
+		}
+		if n.savedAll(w.j, w.done) {
+			w.j.saved = w.done
+		}
 	case err == nil:
 		w.j.saved, w.j.stamp = w.done, max(w.j.stamp, rev)
 	case !errors.Is(err, storage.ErrConflict):
@@ -106,3 +151,23 @@
 		n.endedQ = n.endedQ[1:]
 	}
 }
+
+// newEnd is the end of a job as it is written. Former versions write less of
+// it, and read no more.
+func (n *Node) newEnd(status string, done int, sp *protocol.Job) *storage.End {
+	e := &storage.End{Status: status, Done: done}
+	if n.switched() {
+		e.AtMS, e.Standing = n.now().UnixMilli(), sp.Standing()
+	}
+	return e
+}
+
+// savedAll tells whether the parts tell of as many tasks as were done when they
+// were worked out; more may have been done since.
+func (n *Node) savedAll(j *job, done int) bool {
+	var all storage.Set
+	for from, p := range n.parts[j.id] {
+		all.AddPart(p.v.Done, from, j.spec.Tasks)
+	}
+	return all.Len() >= done
+}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -14,7 +14,7 @@
 func (s *shard) order(p *planner, now time.Time) []*job {
 	var jobs []*job
 	for _, j := range s.jobs {
-		if !j.ended && !j.unsure && !j.leaving && !now.Before(j.notTill) && j.waiting() > 0 {
+		if !j.ended && !j.unsure && !j.held && !j.leaving && !now.Before(j.notTill) && j.waiting() > 0 {
 			jobs = append(jobs, j)
 		}
 	}
@@ -25,7 +25,7 @@
 			}
 			return 1
 		}
-		return -cmp.Compare(a.spec.Level(), b.spec.Level())
+		return -cmp.Compare(a.level, b.level)
 	}
 	slices.SortFunc(jobs, func(a, b *job) int {
 		return cmp.Or(rank(a, b), cmp.Compare(a.atMS, b.atMS), cmp.Compare(a.id, b.id))
@@ -79,21 +79,21 @@
 	waited := now.Sub(j.at).Seconds()
 	best := math.Inf(1)
 	past := false
-	take := func(by float64) {
-		if by >= waited+j.spec.GuessS {
-			best = min(best, by-waited)
+	take := func(left float64) {
+		if left >= j.spec.GuessS {
+			best = min(best, left)
 		} else {
 			past = true
 		}
 	}
-	if d := j.spec.DueS; d != nil {
-		take(*d)
+	if !math.IsInf(j.by, 1) {
+		take((j.by - float64(now.UnixMilli())) / 1000)
 	}
 	for _, o := range p.aims {
 		if o.Class == j.spec.Class && o.Kind == "finished" {
-			take(o.WithinS)
+			take(o.WithinS - waited)
 		} else if o.Class == j.spec.Class && o.Kind == "wait" {
-			take(o.WithinS + j.spec.GuessS)
+			take(o.WithinS + j.spec.GuessS - waited)
 		}
 	}
 	if math.IsInf(best, 1) && past {
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -59,6 +59,11 @@
 	within  bool
 	counted int     // tasks done while this controller looked on,
 	took    float64 // and the seconds they ran
+	// held: jobs that this one waits for are not known to be done; no task
+	// of it starts.
+	held  bool
+	level protocol.Urgency // the highest of its own and of the jobs that need it
+	by    float64          // when it should be done, milliseconds of the time of day; infinite: no matter
 	// leaving: the job is being given to another shard; no task of it is
 	// placed until its record has changed.
 	leaving    bool
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -63,6 +63,7 @@
 	}
 	n.meter.read(now, n.cpu(), share)
 	n.holdShards()
+	n.resolve()
 	n.markWithin()
 	p := n.planner(now)
 	// What weighs everything against everything takes effect with the
@@ -114,9 +115,11 @@
 	acts := n.valid(n.now())
 	n.mu.Unlock()
 	if acts {
+		n.leaveMark(ctx)
 		n.flush(ctx)
 		n.writeGrants(ctx)
 		n.moveJobs(ctx)
+		n.sweepParts(ctx)
 	}
 	return 0
 }
@@ -140,7 +143,7 @@
 		}
 	}
 	return &planner{params: placement.Params{A: n.op.A, B: n.op.B, C: n.op.C}, breeds: n.catalog, teams: n.teams,
-		refused: func(k kind) bool { return now.Before(n.refuse[k]) }, usage: usage, most: n.set.Capacity(), aims: n.set.Deployment.Objectives,
+		refused: func(k kind) bool { return now.Before(n.refuse[k]) }, usage: usage, most: n.capacity(), aims: n.set.Deployment.Objectives,
 		report: config.Seconds(n.set.Deployment.Workers.ReportS)}
 }
 
@@ -165,6 +168,9 @@
 func (n *Node) markWithin() {
 	byTeam := map[string][]*jobRec{}
 	for _, jr := range n.jobs {
+		if jr.waiting() {
+			continue
+		}
 		byTeam[jr.rec.Spec.Team] = append(byTeam[jr.rec.Spec.Team], jr)
 	}
 	for name, list := range byTeam {
@@ -187,6 +193,6 @@
 
 func sortJobs(list []*jobRec) {
 	slices.SortFunc(list, func(a, b *jobRec) int {
-		return cmp.Or(cmp.Compare(a.rec.AtMS, b.rec.AtMS), cmp.Compare(a.rec.Spec.ID, b.rec.Spec.ID))
+		return cmp.Or(cmp.Compare(a.fromMS(), b.fromMS()), cmp.Compare(a.rec.Spec.ID, b.rec.Spec.ID))
 	})
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
@@ -48,6 +49,13 @@
 		shard = n.shardFor(j, now)
 	}
 	n.mu.Unlock()
+	if never == nil {
+		if err := n.checkWaits(ctx, j); errors.As(err, new(*ErrNever)) {
+			never = err
+		} else if err != nil {
+			return st, false, err
+		}
+	}
 	if never != nil {
 		// A job that was accepted is never refused, even should the catalog
 		// have changed since.
@@ -57,7 +65,10 @@
 		return st, false, never
 	}
 	rec := storage.Job{Spec: *j, Shard: shard, AtMS: now.UnixMilli()}
-	if err := n.fitsRecord(rec); err != nil {
+	n.mu.Lock()
+	err = n.fitsRecord(&rec)
+	n.mu.Unlock()
+	if err != nil {
 		return st, false, err
 	}
 	_, err = n.state.MultiSoon(ctx, protocol.Txn{
@@ -79,11 +90,27 @@
 }
 
 // fitsRecord refuses a job whose record could not be kept: a write that is over
-// the state service's limit would fail however often it is asked for. Most of
-// a value is left for what is done.
-func (n *Node) fitsRecord(rec storage.Job) error {
+// the state service's limit would fail however often it is asked for. Types that
+// the cloud doesn't have are left out of what is kept. While what is done of a
+// job stands in the same record most of a value is left for that.
+func (n *Node) fitsRecord(rec *storage.Job) error {
+	sp := &rec.Spec
+	most := n.limits().ValueBytes()
+	if n.switched() {
+		var known []string
+		for _, b := range n.catalog {
+			if slices.Contains(sp.Breeds, b.Name) {
+				known = append(known, b.Name)
+			}
+		}
+		if len(known) > 0 {
+			sp.Breeds = known
+		}
+	} else {
+		most /= 4
+	}
 	raw, err := json.Marshal(rec)
-	if most := int(n.set.Deployment.State.ValueKB * 1024 / 4); err != nil || len(raw) > most {
+	if err != nil || len(raw) > most {
 		return &ErrNever{"body", fmt.Sprintf("%d bytes to keep, at most %d can be", len(raw), most)}
 	}
 	return nil
@@ -165,6 +192,21 @@
 	if rec == nil {
 		return st, false, nil
 	}
+	if len(rec.rec.Spec.Waits) > 0 {
+		// A user who was told that a job before this one is cancelled is not
+		// told for long that this one waits.
+		doomed, err := n.doomedNow(ctx, rec)
+		if err != nil {
+			return st, false, ErrUnsure
+		}
+		if doomed {
+			end, err := n.cancel(ctx, rec)
+			if err != nil {
+				return st, false, ErrUnsure
+			}
+			return endStatus(id, end), true, nil
+		}
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.liveStatus(rec), true, nil
@@ -173,7 +215,7 @@
 // liveStatus counts a job's tasks for display.
 func (n *Node) liveStatus(rec *jobRec) protocol.JobStatus {
 	id := rec.rec.Spec.ID
-	done, _ := storage.ParseSet(rec.rec.Done, rec.rec.Spec.Tasks)
+	done, _ := n.doneOf(rec)
 	st := protocol.JobStatus{ID: id, Status: protocol.Pending, Done: done.Len()}
 	if s := n.shards[rec.rec.Shard]; s != nil {
 		if j := s.jobs[id]; j != nil {
@@ -214,14 +256,8 @@
 		if rec == nil {
 			return st, false, nil
 		}
-		done, _ := storage.ParseSet(rec.rec.Done, rec.rec.Spec.Tasks)
-		w := storage.End{Status: protocol.Withdrawn, Done: done.Len()}
-		_, err = n.state.MultiSoon(ctx, protocol.Txn{When: []protocol.Cond{{Path: storage.JobKey(id), Stamp: rec.stamp}},
-			Writes: []protocol.Write{{Delete: storage.JobKey(id)}, {Put: storage.EndedKey(id), Data: w}}})
+		w, err := n.cancel(ctx, rec)
 		if err == nil {
-			n.mu.Lock()
-			n.noteEnd(id, w)
-			n.mu.Unlock()
 			return endStatus(id, w), true, nil
 		}
 		if !errors.Is(err, storage.ErrConflict) {
--- a/internal/coordination/wire_test.go
+++ b/internal/coordination/wire_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/standin"
+	"reedtrack/internal/storage"
 )
 
 // wire is one controller's way to the store: it delays, loses and holds back.
@@ -21,6 +23,30 @@
 	rnd *rand.Rand
 	cut bool // the store refuses this controller alone
 	bad float64
+	old bool // plays a controller of the version before: see hide
+}
+
+// newKeys are the keys that the version before does not know.
+func newKey(path string) bool {
+	_, mark := storage.CutMark(path)
+	return mark || path == storage.FormKey
+}
+
+// hide keeps the keys of an upgrade from a controller that plays the version
+// before, which passes them over.
+func hide(answer any) any {
+	switch a := answer.(type) {
+	case protocol.Items:
+		a.Items = slices.DeleteFunc(slices.Clone(a.Items), func(it protocol.Item) bool { return newKey(it.Path) })
+		if len(a.Items) == 0 {
+			a.HasNext = false
+		}
+		return a
+	case protocol.Changes:
+		a.Log = slices.DeleteFunc(slices.Clone(a.Log), func(c protocol.Change) bool { return newKey(c.Put + c.Delete) })
+		return a
+	}
+	return answer
 }
 
 func (w *wire) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -42,6 +68,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	case cut:
+	case w.old && bytes.Contains(body, []byte(storage.MarkKey(""))):
 	case r.URL.Path == "/multi" && fate < bad:
 		// No answer; carried out now, later or never.
 		if fate < bad*2/3 {
@@ -58,6 +85,9 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
+	if w.old {
+		answer = hide(answer)
+	}
 	raw, _ := json.Marshal(answer)
 	return &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(raw)), Header: http.Header{}, Request: r}, nil
 }
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -49,6 +50,16 @@
 	SaveS    float64  `json:"save_every_s,omitempty"`
 	SaveTake float64  `json:"save_takes_s,omitempty"`
 	DueS     *float64 `json:"due_s,omitempty"`
+	Waits    []string `json:"waits_on,omitempty"` // each once
+}
+
+// FieldWaits is the field that names the jobs to wait for.
+const FieldWaits = "waits_on"
+
+// JobWaits tells people what a job waits for.
+type JobWaits struct {
+	ID  string      `json:"id"`
+	For []JobStatus `json:"waits_on"`
 }
 
 // Standing tells whether the job's tasks run until it is cancelled.
@@ -183,6 +194,18 @@
 			return nil, err
 		}
 	}
+	if !null(FieldWaits) {
+		if err := read(FieldWaits, &j.Waits, "a list of job ids"); err != nil {
+			return nil, err
+		}
+		for _, id := range j.Waits {
+			if !ValidJobID(id) {
+				return nil, &BadField{FieldWaits, "each must look like wk-000412"}
+			}
+		}
+		slices.Sort(j.Waits)
+		j.Waits = slices.Compact(j.Waits)
+	}
 	return j, nil
 }
 
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -7,10 +7,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
 	"reedtrack/internal/protocol"
@@ -40,8 +42,20 @@
 	requests *rate.Limiter
 	changes  *rate.Limiter
 	writes   float64 // of one part of the service's writes, see Lead
+
+	overRate, overSize rate.Sometimes
 }
 
+// Metrics of what the state service did not take.
+var (
+	rates = prometheus.NewCounter(prometheus.CounterOpts{Name: "reedtrack_state_rate_refused_total",
+		Help: "Transactions refused by the state service for its rate."})
+	sizes = prometheus.NewCounter(prometheus.CounterOpts{Name: "reedtrack_state_size_refused_total",
+		Help: "Transactions refused by the state service for good, as for their size."})
+)
+
+func init() { prometheus.MustRegister(rates, sizes) }
+
 // watchPart is the part of the service's requests that is left to watches and
 // renewals.
 const watchPart = 0.3
@@ -61,10 +75,11 @@
 
 // NewClientOver returns a client over a round tripper of the caller's own.
 func NewClientOver(rt http.RoundTripper, rps, writeRPS float64, nodes int) *Client {
-	c := &Client{base: "http://state", writes: 0.9 * writeRPS / float64(nodes-1+leaderParts),
-		http:  transport.NewClientOver(rt, 2*time.Second),
-		watch: transport.NewClientOver(rt, time.Minute),
-		renew: transport.NewClientOver(rt, time.Second)}
+	c := &Client{base: "http://state", overRate: rate.Sometimes{Interval: 10 * time.Second}, overSize: rate.Sometimes{Interval: time.Second},
+		writes: 0.9 * writeRPS / float64(nodes-1+leaderParts),
+		http:   transport.NewClientOver(rt, 2*time.Second),
+		watch:  transport.NewClientOver(rt, time.Minute),
+		renew:  transport.NewClientOver(rt, time.Second)}
 	c.requests = limiter((1 - watchPart) * rps / float64(nodes))
 	c.changes = limiter(c.writes)
 	return c
@@ -81,6 +96,13 @@
 	return time.Duration(float64(nodes) / (watchPart * 0.8 * rps) * float64(time.Second))
 }
 
+// Limit lowers the budget for writes to what the service will take.
+func (c *Client) Limit(writeRPS float64, nodes int) {
+	c.writes = 0.9 * writeRPS / float64(nodes-1+leaderParts)
+	c.changes.SetLimit(rate.Limit(c.writes))
+	c.changes.SetBurst(burst(c.writes))
+}
+
 // Lead gives the client the leader's part of the writes, or the others'.
 func (c *Client) Lead(leads bool) {
 	parts := 1.0
@@ -216,11 +238,35 @@
 	}
 	var res protocol.TxnResult
 	if err := c.http.Do(ctx, http.MethodPost, c.base+"/multi", t, &res); err != nil {
-		return 0, outcome(err)
+		err = outcome(err)
+		c.refused(t, err)
+		return 0, err
 	}
 	return res.Ledger, nil
 }
 
+// refused counts what the service did not take, and logs what it will not take
+// however often it is sent: such a write is a fault of this program.
+func (c *Client) refused(t protocol.Txn, err error) {
+	var se *transport.StatusError
+	switch {
+	case errors.Is(err, ErrRate):
+		rates.Inc()
+		c.overRate.Do(func() { slog.Warn("over the state service's rate", "keys", keysOf(t)) })
+	case errors.As(err, &se) && se.Code == http.StatusBadRequest:
+		sizes.Inc()
+		c.overSize.Do(func() { slog.Error("the state service refuses a write for good", "keys", keysOf(t), "err", err) })
+	}
+}
+
+func keysOf(t protocol.Txn) []string {
+	var keys []string
+	for _, w := range t.Writes {
+		keys = append(keys, w.Put+w.Delete)
+	}
+	return keys
+}
+
 // Grant opens a lease.
 func (c *Client) Grant(ctx context.Context, life time.Duration) (uint64, error) {
 	var g protocol.Grant
--- a/internal/storage/ranges.go
+++ b/internal/storage/ranges.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"encoding/base64"
 	"fmt"
 	"strconv"
 	"strings"
@@ -81,6 +82,74 @@
 	return s, nil
 }
 
+// partMark begins a part that is written as bits.
+const partMark = "!"
+
+// Part writes the numbers from one on up to another, as ranges or, where that
+// is shorter, as bits: a part never takes more than partBytes says.
+func (s *Set) Part(from, to int) string {
+	sub := Set{}
+	raw := make([]byte, (to-from+7)/8)
+	for i := from; i < to; i++ {
+		if s.Has(i) {
+			sub.Add(i - from)
+			raw[(i-from)/8] |= 1 << ((i - from) % 8)
+		}
+	}
+	text, bits := sub.String(), partMark+base64.RawStdEncoding.EncodeToString(raw)
+	if len(bits) < len(text) {
+		return bits
+	}
+	return text
+}
+
+// AddPart adds what Part wrote, for numbers below most.
+func (s *Set) AddPart(text string, from, most int) error {
+	if bits, ok := strings.CutPrefix(text, partMark); ok {
+		raw, err := base64.RawStdEncoding.DecodeString(bits)
+		if err != nil {
+			return err
+		}
+		for i := range len(raw) * 8 {
+			if raw[i/8]&(1<<(i%8)) == 0 {
+				continue
+			}
+			if from+i >= most {
+				return fmt.Errorf("task %d of %d", from+i, most)
+			}
+			s.Add(from + i)
+		}
+		return nil
+	}
+	sub, err := ParseSet(text, max(0, most-from))
+	if err != nil {
+		return err
+	}
+	for i := range len(sub.bits) * 64 {
+		if sub.Has(i) {
+			s.Add(from + i)
+		}
+	}
+	return nil
+}
+
+// Count counts the numbers from one on up to another.
+func (s *Set) Count(from, to int) int {
+	n := 0
+	for i := from; i < to; i++ {
+		if s.Has(i) {
+			n++
+		}
+	}
+	return n
+}
+
+// PartWidth is how many numbers a part of at most so many bytes can tell of.
+func PartWidth(valueBytes int) int {
+	const around = 64 // the other fields, and what rounding up adds
+	return max(8, (valueBytes-around)/4*3*8)
+}
+
 // Fit shortens the text of the set to at most limit bytes by leaving out the
 // shortest ranges: a task left out is only run again, and its result is kept
 // by the worker's side.
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"reedtrack/internal/protocol"
@@ -19,8 +20,67 @@
 	grant      = "r/grant/"
 	job        = "r/job/"
 	ended      = "e/"
+
+	// The keys below are of forms that former versions don't know; they
+	// pass them over.
+	FormKey = "r/form"
+	mark    = "r/mark/"
+	piece   = "r/piece/"
+	part    = "r/done/"
+)
+
+// Forms of records. FormWhole is what the first versions write: one record a
+// shard, and what is done of a job in the job's own. FormSplit divides both
+// over values of any size and lets jobs wait for others.
+const (
+	FormWhole = 1
+	FormSplit = 2
 )
 
+// Form says in which form records may be written: it is set once every
+// controller has left its Mark, and never back.
+type Form struct {
+	Form int `json:"form"`
+}
+
+// Mark says that a controller has run a version that knows a form.
+type Mark = Form
+
+// Piece holds some of a shard's blocks. It counts only while the shard's grant
+// names the same Of: pieces are staged one after the other, and the grant's
+// one write makes them count together.
+type Piece struct {
+	Of     uint64
+	Blocks []Block
+}
+
+// Part is what is done of a job's tasks from a number on, see Set.Part.
+type Part struct {
+	From int    `json:"from"`
+	Done string `json:"done"`
+}
+
+func MarkKey(node string) string         { return mark + node }
+func PieceKey(i, k int) string           { return fmt.Sprintf("%s%d/%d", piece, i, k) }
+func PartKey(id string, from int) string { return fmt.Sprintf("%s%s/%d", part, id, from) }
+func CutMark(key string) (string, bool)  { return strings.CutPrefix(key, mark) }
+func CutPiece(key string) (i, k int, ok bool) {
+	rest, ok := strings.CutPrefix(key, piece)
+	if !ok {
+		return 0, 0, false
+	}
+	n, _ := fmt.Sscanf(rest, "%d/%d", &i, &k)
+	return i, k, n == 2
+}
+
+// CutPart takes the key of a part apart.
+func CutPart(key string) (id string, from int, ok bool) {
+	rest, ok := strings.CutPrefix(key, part)
+	id, num, some := strings.Cut(rest, "/")
+	from, err := strconv.Atoi(num)
+	return id, from, ok && some && err == nil
+}
+
 func AliveKey(node string) string { return alive + node }
 func ShardKey(i int) string       { return fmt.Sprintf("%s%d", shard, i) }
 func GrantKey(i int) string       { return fmt.Sprintf("%s%d", grant, i) }
@@ -79,4 +139,9 @@
 type End struct {
 	Status string `json:"status"`
 	Done   int    `json:"done"`
+	// AtMS is when the job ended, from which jobs that waited for it count
+	// their time; former versions left it out.
+	AtMS int64 `json:"at,omitempty"`
+	// Standing jobs can't be waited for.
+	Standing bool `json:"standing,omitempty"`
 }
--- a/internal/storage/replica.go
+++ b/internal/storage/replica.go
@@ -1,19 +1,21 @@
 package storage
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"reedtrack/internal/protocol"
 )
 
-// Replica copies all keys under Root. Apply is called for each change in
-// order, from one goroutine; a nil value is a deletion.
+// Replica copies all keys under Root. Apply is called from one goroutine with
+// changes in their order; after each call the copy shows one moment.
 type Replica struct {
 	Client *Client
-	Apply  func(path string, data []byte, stamp uint64)
+	Apply  func(batch []protocol.Change)
 	// Synced is called after a batch, with the time at which the request was
 	// sent: all changes made before then have been applied.
 	Synced func(sent time.Time)
@@ -26,22 +28,19 @@
 func (r *Replica) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		since, err := r.load(ctx)
-		// The pages of a load were read one after the other. Only with what
-		// has changed since the first do they show one moment, as a job's
-		// move from one shard to another needs.
-		wait := time.Duration(0)
 		for err == nil {
-			since, err = r.follow(ctx, since, wait)
-			wait = r.Poll
+			since, err = r.follow(ctx, since, r.Poll)
 		}
 		slog.Info("replica reads anew", "cause", err)
 		pause(ctx, 300*time.Millisecond)
 	}
 }
 
+// load reads all keys. The pages are read one after the other, so what has
+// changed since the first is added before anything is shown: a reader sees one
+// moment, never the old form of one record beside the new one of another.
 func (r *Replica) load(ctx context.Context) (uint64, error) {
-	seen := map[string]uint64{}
-	var items []protocol.Item
+	now := map[string]protocol.Change{}
 	var ledger uint64
 	since := ""
 	for first := true; ; first = false {
@@ -50,31 +49,56 @@
 			return 0, err
 		}
 		if first {
-			// Later pages may be newer; what changed meanwhile comes again
-			// with the log, which starts here.
 			ledger = page.Ledger
 		}
 		for _, it := range page.Items {
-			seen[it.Path] = it.Stamp
+			now[it.Path] = protocol.Change{Put: it.Path, Data: it.Data, Stamp: it.Stamp}
 			since = it.Path
 		}
-		items = append(items, page.Items...)
 		if !page.HasNext || len(page.Items) == 0 {
 			break
 		}
 	}
+	sent := time.Now()
+	ch, err := r.Client.Follow(ctx, Root, ledger, 0)
+	if err != nil {
+		return 0, err
+	}
+	for _, c := range ch.Log {
+		if path := pathOf(c); c.Stamp > now[path].Stamp {
+			if c.Put == "" {
+				delete(now, path)
+			} else {
+				now[path] = c
+			}
+		}
+	}
+	var batch []protocol.Change
 	for path := range r.known {
-		if _, ok := seen[path]; !ok {
-			r.Apply(path, nil, ledger)
+		if _, ok := now[path]; !ok {
+			batch = append(batch, protocol.Change{Delete: path, Stamp: ch.Ledger})
 		}
 	}
-	for _, it := range items {
-		if r.known[it.Path] != it.Stamp {
-			r.Apply(it.Path, it.Data, it.Stamp)
+	seen := map[string]uint64{}
+	for path, c := range now {
+		if seen[path] = c.Stamp; r.known[path] != c.Stamp {
+			batch = append(batch, c)
 		}
 	}
+	slices.SortFunc(batch, func(a, b protocol.Change) int {
+		return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), cmp.Compare(pathOf(a), pathOf(b)))
+	})
 	r.known = seen
-	return ledger, nil
+	r.Apply(batch)
+	r.Synced(sent)
+	return ch.Ledger, nil
+}
+
+func pathOf(c protocol.Change) string {
+	if c.Put != "" {
+		return c.Put
+	}
+	return c.Delete
 }
 
 func (r *Replica) follow(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
@@ -87,22 +111,20 @@
 	if err != nil {
 		return 0, err
 	}
+	var batch []protocol.Change
 	for _, c := range ch.Log {
-		path := c.Put
-		if path == "" {
-			path = c.Delete
-		}
+		path := pathOf(c)
 		if c.Stamp <= r.known[path] {
 			continue
 		}
 		if c.Put != "" {
 			r.known[path] = c.Stamp
-			r.Apply(path, c.Data, c.Stamp)
 		} else {
 			delete(r.known, path)
-			r.Apply(path, nil, c.Stamp)
 		}
+		batch = append(batch, c)
 	}
+	r.Apply(batch)
 	r.Synced(sent)
 	if len(ch.Log) > 0 {
 		// In a busy deployment something changes all the time: without a rest
