--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -91,7 +91,7 @@
 		"<reedtrack><ucfit><a>two</a></ucfit></reedtrack>":           "two",
 		"<reedtrack>": "EOF",
 		`<reedtrack><idle-boots unit="s">1</idle-boots></reedtrack>`:    "unknown attribute",
-		"<reedtrack><fill-machines>0</fill-machines></reedtrack>":       "from 1 to 637",
+		"<reedtrack><fill-machines>0</fill-machines></reedtrack>":       "from 1 to 750",
 		"<reedtrack><status-listen>nowhere</status-listen></reedtrack>": "address",
 	} {
 		if _, err := s.ParseOperator("op.xml", []byte(xml)); err == nil || !strings.Contains(err.Error(), want) {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -626,6 +626,9 @@
 			}
 			if err == nil {
 				ok = true
+				w.mu.Lock()
+				w.first[j.ID] = time.Now()
+				w.mu.Unlock()
 				w.saw(j.ID, st.Status)
 			}
 		}
@@ -633,7 +636,6 @@
 	}
 	w.mu.Lock()
 	w.accepted[j.ID] = true
-	w.first[j.ID] = time.Now()
 	w.mu.Unlock()
 	withdraw := time.Now().Add(time.Duration(w.intn(60)) * time.Second)
 	for ctx.Err() == nil {
