--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -771,6 +771,11 @@
 				w.mu.Unlock()
 				n := w.set.Deployment.State.Next
 				w.store.Limit(n.ValueBytes(), n.TxnOps, int(n.WriteRPS))
+				// What was on its way, and what a controller writes that has
+				// not seen the switch yet, may be over the limits: it is refused
+				// and does no harm. Later nothing may be.
+				time.Sleep(30 * time.Second)
+				w.store.Over()
 				return
 			}
 		}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -214,11 +214,14 @@
 	return slices.Sorted(maps.Keys(s.keys))
 }
 
-// Over lists the transactions that were over a limit of the service.
+// Over lists the transactions that were over a limit of the service since it was
+// last asked for.
 func (s *Store) Over() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.over)
+	over := s.over
+	s.over = nil
+	return over
 }
 
 func (s *Store) follow(ctx context.Context, under string, since uint64, wait time.Duration) (int, any) {
