--- /dev/null
+++ b/internal/coordination/production_test.go
@@ -0,0 +1,129 @@
+package coordination
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// What the version before wrote (testdata/production, made by its code) is read
+// without loss, and before the switch this version writes the same bytes: a
+// field that the one doesn't know would be lost when it writes a record anew.
+func TestProductionRecords(t *testing.T) {
+	for name, v := range map[string]any{"job": new(storage.Job), "job-plain": new(storage.Job), "end": new(storage.End), "shard": new(storage.Shard),
+		"term": new(storage.Term), "node": new(storage.Node), "grant": new(storage.Grant)} {
+		old, err := os.ReadFile(filepath.Join("testdata/production", name+".json"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := json.Unmarshal(old, v); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if now, _ := json.Marshal(v); !bytes.Equal(now, bytes.TrimSpace(old)) {
+			t.Errorf("%s:\n%s\nis written as\n%s", name, old, now)
+		}
+	}
+	em, _ := cbor.EncOptions{Sort: cbor.SortCanonical}.EncMode()
+	for name, v := range map[string]any{"status": new(Status), "reply": new(Reply)} {
+		old, err := os.ReadFile(filepath.Join("testdata/production", name+".cbor"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cbor.Unmarshal(old, v); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if now, _ := em.Marshal(v); !bytes.Equal(now, old) {
+			t.Errorf("%s is written as %x, not %x", name, now, old)
+		}
+	}
+}
+
+// A grant in pieces says the same as one in a record; a version that knows only
+// the whole form can't read it, and a word of it is never taken for no machines.
+func TestSplitGrant(t *testing.T) {
+	w := newWorld(1, nil)
+	n := New(w.set, w.set.Defaults(), nil, nil, nil, nil)
+	raw, err := os.ReadFile("testdata/production/grant.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.apply(storage.GrantKey(0), raw, 7)
+	before := n.grantRecs[0].v
+	n.apply(storage.FormKey, []byte(`{"form":2}`), 8)
+	w.set.Deployment.State.Next = nil
+	n.leaderRec.stamp = 5
+	w.set.Deployment.State.ValueKB = 0.35 // one machine a piece
+	stamp, steps := uint64(9), 0
+	for ; steps < 20; steps++ {
+		txn, _ := n.splitTxn()
+		if txn == nil {
+			break
+		}
+		for _, put := range txn.Writes {
+			raw, _ := json.Marshal(put.Data)
+			n.apply(put.Put, raw, stamp)
+		}
+		if stamp++; n.grantRecs[0].v.Of == 0 && !reflect.DeepEqual(before, n.grantRecs[0].v) {
+			t.Fatal("pieces count before the grant says so")
+		}
+	}
+	after := n.grantRecs[0].v
+	if steps < 2 || len(n.pieces[0]) < 2 || after.Of != 7 || !reflect.DeepEqual(before.Blocks, after.Blocks) || !reflect.DeepEqual(before.Shares, after.Shares) {
+		t.Errorf("after %d steps and %d pieces\n%+v\nis not\n%+v", steps, len(n.pieces[0]), after, before)
+	}
+	head, _ := json.Marshal(after)
+	var old struct {
+		Blocks struct {
+			Names []string `json:"names"`
+		} `json:"blocks"`
+	}
+	if json.Unmarshal(head, &old) == nil {
+		t.Error("the former version would take the shard for one without machines")
+	}
+	// A piece that can't be read leaves the shard as it is.
+	n.apply(storage.PieceKey(0, 0), []byte(`{"of":7,"blocks":{"names":["0x"]}}`), stamp)
+	if !reflect.DeepEqual(after, n.grantRecs[0].v) {
+		t.Error("machines are missing with a piece that can't be read")
+	}
+	// A form of a later version stops this one.
+	n.apply(storage.FormKey, []byte(`{"form":3}`), stamp+1)
+	if n.knowsForm() {
+		t.Error("acts on a form that it doesn't know")
+	}
+}
+
+// The switch needs the marks of all controllers, up or not, and is the leader's.
+func TestSwitchNeedsAllMarks(t *testing.T) {
+	w := newWorld(1, nil)
+	var sent []protocol.Txn
+	n := New(w.set, w.set.Defaults(), storage.NewClientOver(recorder{&sent}, 1000, 1000, 1), nil, nil, nil)
+	n.session, n.leaderRec.v = 4, storage.Node{Name: "n0", Session: 4}
+	for _, want := range []string{storage.MarkKey("n0"), "", "", storage.FormKey, ""} {
+		sent = nil
+		n.leaveMark(t.Context())
+		got := ""
+		if len(sent) > 0 {
+			got = sent[0].Writes[0].Put
+		}
+		if got != want {
+			t.Fatalf("with %d marks: writes %q, want %q", len(n.marks), got, want)
+		}
+		switch len(n.marks) {
+		case 0, 1, 2:
+			n.apply(storage.MarkKey(string([]byte{'n', byte('0' + len(n.marks))})), []byte(`{"form":2}`), uint64(10+len(n.marks)))
+		case 3:
+			n.apply(storage.FormKey, []byte(`{"form":2}`), 20)
+		}
+	}
+	if !n.switched() {
+		t.Error("not switched")
+	}
+}
--- a/internal/coordination/wire_test.go
+++ b/internal/coordination/wire_test.go
@@ -91,3 +91,13 @@
 	raw, _ := json.Marshal(answer)
 	return &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(raw)), Header: http.Header{}, Request: r}, nil
 }
+
+// recorder notes transactions and answers that they succeeded.
+type recorder struct{ sent *[]protocol.Txn }
+
+func (r recorder) RoundTrip(req *http.Request) (*http.Response, error) {
+	var t protocol.Txn
+	json.NewDecoder(req.Body).Decode(&t)
+	*r.sent = append(*r.sent, t)
+	return &http.Response{StatusCode: 200, Body: io.NopCloser(bytes.NewReader([]byte(`{"ledger":9}`))), Header: http.Header{}, Request: req}, nil
+}
