--- a/cmd/reedtrack/client.go
+++ b/cmd/reedtrack/client.go
@@ -90,12 +90,33 @@
 			return err
 		}
 		if !c.Wait || st.Status == protocol.Done || st.Status == protocol.Withdrawn {
-			return c.show(answer)
+			if err := c.show(answer); err != nil || c.JSON || st.Status != protocol.Pending {
+				return err
+			}
+			return c.showWaits(u)
 		}
 		time.Sleep(2 * time.Second)
 	}
 }
 
+// showWaits prints which jobs one still waits for, and how they stand.
+func (c *statusCmd) showWaits(u *transport.User) error {
+	answer, err := u.Ask(context.Background(), "GET", "/v1/jobs/"+c.ID+"/waits", nil)
+	if err != nil {
+		return err
+	}
+	var w protocol.JobWaits
+	if err := json.Unmarshal(answer, &w); err != nil {
+		return err
+	}
+	for _, st := range w.For {
+		if st.Status != protocol.Done {
+			fmt.Printf("  waits for %s, which is %s\n", st.ID, st.Status)
+		}
+	}
+	return nil
+}
+
 type withdrawCmd struct {
 	clientFlags
 	ID string `arg:"" help:"The job, as wk-000412."`
--- a/cmd/reedtrack/main.go
+++ b/cmd/reedtrack/main.go
@@ -69,6 +69,10 @@
 	fmt.Printf("ucfit              a=%g b=%g c=%g\n", op.A, op.B, op.C)
 	fmt.Printf("shards             %d, each filled to %d machines before the next\n", op.Shards, op.Fill)
 	fmt.Printf("capacity           %d machines a shard by state.value_kb %g, %d in all\n", set.Capacity(), set.Deployment.State.ValueKB, op.Shards*set.Capacity())
+	fmt.Printf("after the upgrade  %d machines a shard by limits.max_sockets; records are divided over values\n", set.Machines())
+	l := set.Limits()
+	fmt.Printf("writes then        at most %g a second, %d in a transaction, %g KiB in a value (the lower of state and state.next); a job may wait for %d others\n",
+		l.WriteRPS, l.TxnOps, l.ValueKB, set.MostWaits())
 	limits, all := 0.0, len(set.Deployment.Teams) > 0
 	for _, team := range set.Deployment.Teams {
 		limits += team.CPUsMax
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -101,6 +101,12 @@
 	return math.MaxInt32
 }
 
+// MostWaits is how many jobs one may wait for: their names take at most
+// half of what a record holds.
+func (s *Settings) MostWaits() int {
+	return s.Limits().ValueBytes() / 2 / len(`"wk-000000000000000000",`)
+}
+
 // LoadOperator reads the XML file at path over the defaults; no path, only
 // the defaults.
 func (s *Settings) LoadOperator(path string) (Operator, error) {
--- a/internal/coordination/forms.go
+++ b/internal/coordination/forms.go
@@ -10,6 +10,7 @@
 	"reedtrack/internal/config"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
+	"reedtrack/internal/transport"
 )
 
 // pieceRec is a piece of a shard's grant as it stands, with the size of its
@@ -82,12 +83,15 @@
 // applyForm follows the keys of an upgrade.
 func (n *Node) applyForm(path string, data []byte, stamp uint64) (mine bool, err error) {
 	if name, ok := storage.CutMark(path); ok {
-		return true, put(n.marks, name, data, stamp)
+		err := put(n.marks, name, data, stamp)
+		transport.Marks.Set(float64(len(n.marks)))
+		return true, err
 	}
 	if path != storage.FormKey {
 		return false, nil
 	}
 	was := n.switched()
+	defer func() { transport.Form.Set(float64(max(n.form.v.Form, storage.FormWhole))) }()
 	if err := one(&n.form, data, stamp); err != nil {
 		n.form.v.Form = storage.FormSplit + 1 // not known: this version must not act
 		return true, err
--- a/internal/coordination/overview.go
+++ b/internal/coordination/overview.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
 	"reedtrack/internal/transport"
 )
 
@@ -17,6 +20,10 @@
 	now := n.now()
 	o := transport.Overview{Name: n.set.HostName, Leader: n.leaderRec.v.Name, Valid: n.valid(now),
 		LeaseLeft: max(0, n.validTil.Sub(now)).Round(100 * time.Millisecond)}
+	o.Upgrade = fmt.Sprintf("records of form %d", max(n.form.v.Form, storage.FormWhole))
+	if !n.switched() {
+		o.Upgrade += fmt.Sprintf(", upgrade: %d of %d controllers have run this version", len(n.marks), n.set.Deployment.Count)
+	}
 	teams := map[string]*transport.TeamView{}
 	for _, i := range slices.Sorted(maps.Keys(n.shardRecs)) {
 		rec := n.shardRecs[i].v
@@ -32,7 +39,7 @@
 				v.Waiting += j.waiting()
 				o.Jobs = append(o.Jobs, transport.JobView{ID: j.id, Class: j.spec.Class, Team: j.spec.Team, Urgency: j.spec.Urgency,
 					Tasks: j.spec.Tasks, Done: j.done.Len(), Placed: len(j.runs), Waiting: j.waiting(),
-					Age: now.Sub(j.at).Round(time.Second), Within: j.within})
+					Age: now.Sub(j.at).Round(time.Second), Within: j.within, Before: n.openWaits(&j.spec)})
 			}
 			for _, m := range s.machines {
 				o.Machines = append(o.Machines, m.view(now))
@@ -59,6 +66,17 @@
 	return o
 }
 
+// openWaits counts the jobs that one waits for.
+func (n *Node) openWaits(sp *protocol.Job) int {
+	c := 0
+	for _, id := range sp.Waits {
+		if n.jobs[id] != nil {
+			c++
+		}
+	}
+	return c
+}
+
 func (m *machine) view(now time.Time) transport.MachineView {
 	v := transport.MachineView{Name: m.block.Machine, Breed: m.block.Breed, Zone: m.block.Zone, Kind: "ordinary",
 		Tasks: len(m.runs), Used: m.used[0], Cores: m.size[0], Silent: now.Sub(m.answered).Round(100 * time.Millisecond), State: "in use"}
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -58,6 +58,21 @@
 	return s.about(ctx, id, s.Node.Withdraw)
 }
 
+// Waits answers GET /v1/jobs/{id}/waits.
+func (s Service) Waits(ctx context.Context, id string) (int, any) {
+	if !protocol.ValidJobID(id) {
+		return http.StatusNotFound, protocol.Failure{Error: "no such job"}
+	}
+	w, found, err := s.Node.Waits(ctx, id)
+	if err != nil {
+		return refuse(err)
+	}
+	if !found {
+		return http.StatusNotFound, protocol.Failure{Error: "no such job"}
+	}
+	return http.StatusOK, w
+}
+
 func (s Service) about(ctx context.Context, id string, do func(context.Context, string) (protocol.JobStatus, bool, error)) (int, any) {
 	if !protocol.ValidJobID(id) {
 		return http.StatusNotFound, protocol.Failure{Error: "no such job"}
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -11,6 +11,7 @@
 
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
+	"reedtrack/internal/transport"
 )
 
 // wait is what follows for a job from the records of the jobs that it waits
@@ -76,6 +77,15 @@
 			}
 		}
 	}
+	held := 0
+	for _, s := range n.shards {
+		for _, j := range s.jobs {
+			if j.held {
+				held++
+			}
+		}
+	}
+	transport.Held.Set(float64(held))
 	some := len(n.unknown) > 0
 	for _, jr := range n.jobs {
 		if jr.wait.doomed {
@@ -270,12 +280,6 @@
 	return false
 }
 
-// mostWaits is how many jobs one may wait for: their names take at most a
-// quarter of what a record holds.
-func (n *Node) mostWaits() int {
-	return n.set.Limits().ValueBytes() / 4 / len(`"wk-000000000000000000",`)
-}
-
 // checkWaits tells why a job can't wait for those that it names, if so. That a
 // job was accepted never ceases to be true, so what was read once needs no
 // condition in the transaction that accepts another.
@@ -284,7 +288,7 @@
 		return nil
 	}
 	n.mu.Lock()
-	ready, most := n.switched(), n.mostWaits()
+	ready, most := n.switched(), n.set.MostWaits()
 	n.mu.Unlock()
 	if !ready {
 		return ErrUnsure
@@ -324,6 +328,9 @@
 	out := protocol.JobWaits{ID: id, For: []protocol.JobStatus{}}
 	rec, end, err := n.read(ctx, id)
 	if err != nil || rec == nil {
+		if err != nil {
+			err = ErrUnsure
+		}
 		return out, end != nil, err
 	}
 	for _, dep := range rec.rec.Spec.Waits {
--- a/internal/transport/operator.go
+++ b/internal/transport/operator.go
@@ -21,7 +21,17 @@
 		[]string{"kind"})
 )
 
-func init() { prometheus.MustRegister(requests, latency) }
+// Metrics of an upgrade, and of jobs that wait for others.
+var (
+	Form = prometheus.NewGauge(prometheus.GaugeOpts{Name: "reedtrack_record_form",
+		Help: "Form in which records are written; 2 once every controller has run a version that knows it."})
+	Marks = prometheus.NewGauge(prometheus.GaugeOpts{Name: "reedtrack_upgraded_controllers",
+		Help: "Controllers that have run a version that knows the newest form."})
+	Held = prometheus.NewGauge(prometheus.GaugeOpts{Name: "reedtrack_jobs_held",
+		Help: "Jobs of this controller's shards that wait for other jobs."})
+)
+
+func init() { prometheus.MustRegister(requests, latency, Form, Marks, Held) }
 
 // measure counts and times a kind of requests.
 func measure(kind string, next echo.HandlerFunc) echo.HandlerFunc {
@@ -45,6 +55,7 @@
 	Machines     []MachineView
 	Jobs         []JobView
 	MoreJobs     int
+	Upgrade      string // how far it has come
 }
 
 // ShardView is a shard's lease and size.
@@ -79,6 +90,7 @@
 	Tasks, Done, Placed, Waiting int
 	Age                          time.Duration
 	Within                       bool
+	Before                       int // jobs that it waits for
 }
 
 // Viewer gives the overview.
@@ -91,7 +103,7 @@
 .bad{color:#b00}</style></head><body>
 <h1>{{.Name}}</h1>
 <p>{{if .Valid}}acting, lease for another {{.LeaseLeft}}{{else}}<b class="bad">not acting: no lease at the state service</b>{{end}};
-leader: {{or .Leader "none"}}; <a href="/metrics">metrics</a></p>
+leader: {{or .Leader "none"}}; {{.Upgrade}}; <a href="/metrics">metrics</a></p>
 <h2>Shards</h2><table><tr><th>shard</th><th>holder</th><th>term</th><th>blocks</th><th>jobs</th><th>on their way</th><th>tasks waiting</th><th></th></tr>
 {{range .Shards}}<tr><td>{{.Index}}</td><td>{{.Holder}}</td><td>{{.Term}}</td><td>{{.Blocks}}</td><td>{{.Jobs}}</td>
 <td>{{if .Mine}}{{.Coming}}{{end}}</td><td>{{if .Mine}}{{.Waiting}}{{end}}</td><td>{{if .Mine}}{{if .Settled}}settled{{else}}<span class="bad">settling</span>{{end}}{{end}}</td></tr>{{end}}</table>
@@ -99,8 +111,8 @@
 {{range .Teams}}<tr><td>{{.Name}}</td><td>{{printf "%.1f" .Used}}</td><td>{{printf "%.1f" .Share}}</td><td>{{.Guarantee}}</td><td>{{if .Limit}}{{.Limit}}{{else}}none{{end}}</td></tr>{{end}}</table>{{end}}
 {{if .Machines}}<h2>Machines</h2><table><tr><th>machine</th><th>type</th><th>zone</th><th>kind</th><th>tasks</th><th>cores used</th><th>of</th><th>silent</th><th>state</th></tr>
 {{range .Machines}}<tr><td>{{.Name}}</td><td>{{.Breed}}</td><td>{{.Zone}}</td><td>{{.Kind}}</td><td>{{.Tasks}}</td><td>{{printf "%.1f" .Used}}</td><td>{{.Cores}}</td><td>{{.Silent}}</td><td>{{.State}}</td></tr>{{end}}</table>{{end}}
-{{if .Jobs}}<h2>Jobs</h2><table><tr><th>job</th><th>class</th><th>team</th><th>urgency</th><th>tasks</th><th>done</th><th>placed</th><th>waiting</th><th>age</th><th>guarantee</th></tr>
-{{range .Jobs}}<tr><td>{{.ID}}</td><td>{{.Class}}</td><td>{{.Team}}</td><td>{{.Urgency}}</td><td>{{.Tasks}}</td><td>{{.Done}}</td><td>{{.Placed}}</td><td>{{.Waiting}}</td><td>{{.Age}}</td><td>{{if .Within}}within{{end}}</td></tr>{{end}}</table>
+{{if .Jobs}}<h2>Jobs</h2><table><tr><th>job</th><th>class</th><th>team</th><th>urgency</th><th>tasks</th><th>done</th><th>placed</th><th>waiting</th><th>age</th><th>guarantee</th><th>waits for jobs</th></tr>
+{{range .Jobs}}<tr><td>{{.ID}}</td><td>{{.Class}}</td><td>{{.Team}}</td><td>{{.Urgency}}</td><td>{{.Tasks}}</td><td>{{.Done}}</td><td>{{.Placed}}</td><td>{{.Waiting}}</td><td>{{.Age}}</td><td>{{if .Within}}within{{end}}</td><td>{{if .Before}}{{.Before}}{{end}}</td></tr>{{end}}</table>
 {{if .MoreJobs}}<p>and {{.MoreJobs}} more</p>{{end}}{{end}}
 </body></html>`))
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -19,6 +19,7 @@
 	Submit(ctx context.Context, body []byte) (status int, answer any)
 	Poll(ctx context.Context, id string) (status int, answer any)
 	Withdraw(ctx context.Context, id string) (status int, answer any)
+	Waits(ctx context.Context, id string) (status int, answer any)
 	Checkin(body []byte) (status int, answer any)
 	Up() bool
 }
@@ -68,6 +69,11 @@
 	e.POST("/v1/jobs/:id/withdraw", measure("withdraw", user(func(c echo.Context) (int, any) {
 		return s.Withdraw(c.Request().Context(), c.Param("id"))
 	})))
+	// For people, through the command line: the protocol's own answers stay as
+	// they are.
+	e.GET("/v1/jobs/:id/waits", measure("waits", user(func(c echo.Context) (int, any) {
+		return s.Waits(c.Request().Context(), c.Param("id"))
+	})))
 	return &http.Server{Handler: e, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 3 * time.Minute, MaxHeaderBytes: 16 << 10}
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -31,6 +31,7 @@
 	return s.status, protocol.Failure{Error: "x"}
 }
 func (s *service) Poll(context.Context, string) (int, any)     { return s.status, nil }
+func (s *service) Waits(context.Context, string) (int, any)    { return 404, nil }
 func (s *service) Withdraw(context.Context, string) (int, any) { return s.status, nil }
 func (s *service) Checkin([]byte) (int, any)                   { return 200, protocol.Orders{Baton: 7} }
 func (s *service) Up() bool                                    { return s.up }
