--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -61,7 +61,7 @@
 	// A third of what a cancellation leaves above the workers' lease: the
 	// rest is for the take-over and for commands under way.
 	lease := Seconds((w.CancelS - w.LeaseS) / 3)
-	return Operator{A: 2, B: 1, C: 0.2, Shards: s.Deployment.Count, Fill: s.Capacity(),
+	return Operator{A: 2, B: 1, C: 0.2, Shards: s.Deployment.Count, Fill: max(1, min(s.Capacity(), s.Machines())),
 		HolderLease: min(max(lease, 2*time.Second), 10*time.Second),
 		Idle:        1}
 }
@@ -167,8 +167,9 @@
 			return op, &FieldError{file, "status-listen", "not an address with a port: " + op.Status}
 		}
 	}
-	if op.Fill < 1 || op.Fill > s.Machines() {
-		return op, &FieldError{file, "fill-machines", fmt.Sprintf("must be from 1 to %d, three quarters of limits.max_sockets", s.Machines())}
+	if most := max(s.Capacity(), s.Machines()); op.Fill < 1 || op.Fill > most {
+		return op, &FieldError{file, "fill-machines", fmt.Sprintf("must be from 1 to %d, what a record of state.value_kb %g or three quarters of limits.max_sockets allow",
+			most, s.Deployment.State.ValueKB)}
 	}
 	if !(op.Idle >= 0 && op.Idle <= 1000) {
 		return op, &FieldError{file, "idle-boots", "must be from 0 to 1000"}
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -291,7 +291,7 @@
 	ready, most := n.switched(), n.set.MostWaits()
 	n.mu.Unlock()
 	if !ready {
-		return ErrUnsure
+		return fmt.Errorf("%w: jobs that wait for others are taken once every controller runs this version", ErrUnsure)
 	}
 	if len(j.Waits) > most {
 		return &ErrNever{protocol.FieldWaits, fmt.Sprintf("names %d jobs, at most %d can be kept", len(j.Waits), most)}
