--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -20,7 +20,7 @@
 type Operator struct {
 	A, B, C     float64       // parameters of UCfit
 	Shards      int           // how many units jobs, blocks and shares are leased in
-	Fill        int           // a shard takes new jobs until it has this many machines; 0: as many as it can have
+	Fill        int           // a shard takes new jobs until it has this many machines
 	HolderLease time.Duration // a controller's lease at the state service
 	Idle        float64       // an empty machine is kept for so many times what a new one's boot costs
 	Status      string        // address of the operators' endpoint; empty: none
@@ -61,7 +61,7 @@
 	// A third of what a cancellation leaves above the workers' lease: the
 	// rest is for the take-over and for commands under way.
 	lease := Seconds((w.CancelS - w.LeaseS) / 3)
-	return Operator{A: 2, B: 1, C: 0.2, Shards: s.Deployment.Count, Fill: 0,
+	return Operator{A: 2, B: 1, C: 0.2, Shards: s.Deployment.Count, Fill: max(1, min(s.Capacity(), s.Machines())),
 		HolderLease: min(max(lease, 2*time.Second), 10*time.Second),
 		Idle:        1}
 }
@@ -167,7 +167,7 @@
 			return op, &FieldError{file, "status-listen", "not an address with a port: " + op.Status}
 		}
 	}
-	if most := max(s.Capacity(), s.Machines()); x.Fill != nil && (op.Fill < 1 || op.Fill > most) {
+	if most := max(s.Capacity(), s.Machines()); op.Fill < 1 || op.Fill > most {
 		return op, &FieldError{file, "fill-machines", fmt.Sprintf("must be from 1 to %d, what a record of state.value_kb %g or three quarters of limits.max_sockets allow",
 			most, s.Deployment.State.ValueKB)}
 	}
--- a/internal/coordination/forms.go
+++ b/internal/coordination/forms.go
@@ -48,16 +48,6 @@
 	return n.set.Capacity()
 }
 
-// fill is how many machines a shard is filled to before the next: what the
-// operators say, or else what one holds. Machines that are split among shards
-// are left partly empty in each; the holder's processor sets the other bound.
-func (n *Node) fill() int {
-	if n.op.Fill > 0 {
-		return n.op.Fill
-	}
-	return n.capacity()
-}
-
 // leaveMark writes, once, that this controller has run this version, and makes
 // the switch when all have. Marks hang on no lease, so the controllers need not
 // be up at the same time, and nothing ever takes the switch back.
