--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -61,7 +61,7 @@
 	// A third of what a cancellation leaves above the workers' lease: the
 	// rest is for the take-over and for commands under way.
 	lease := Seconds((w.CancelS - w.LeaseS) / 3)
-	return Operator{A: 2, B: 1, C: 0.2, Shards: s.Deployment.Count, Fill: max(1, min(s.Capacity(), s.Machines())),
+	return Operator{A: 2, B: 1, C: 0.2, Shards: s.Deployment.Count, Fill: s.defaultFill(),
 		HolderLease: min(max(lease, 2*time.Second), 10*time.Second),
 		Idle:        1}
 }
@@ -95,12 +95,19 @@
 // each has a connection open to the shard's holder, and a quarter of the
 // sockets is left for users, links and the services.
 func (s *Settings) Machines() int {
-	if n := s.Deployment.Limits.MaxSockets; n > 0 {
+	if n := s.Deployment.Limits.MaxSockets; n > 0 { // 0: no limit
 		return max(1, n*3/4)
 	}
 	return math.MaxInt32
 }
 
+// defaultFill is what the processor has been seen to bear, which a record of
+// the usual size holds, but where values are small at least what leaves a
+// controller the sockets to take two more shards over.
+func (s *Settings) defaultFill() int {
+	return max(1, min(s.Capacity(), s.Machines()), s.Machines()/3)
+}
+
 // MostWaits is how many jobs one may wait for: their names take at most
 // half of what a record holds.
 func (s *Settings) MostWaits() int {
--- a/internal/coordination/division.go
+++ b/internal/coordination/division.go
@@ -126,7 +126,7 @@
 	if none {
 		need = 0
 	}
-	want := max(1, int(math.Ceil(max(need, float64(len(n.owner)))/float64(n.op.Fill))))
+	want := max(1, int(math.Ceil(max(need, float64(len(n.owner)))/float64(min(n.op.Fill, n.capacity())))))
 	var open, able []int
 	for i := 0; i < n.op.Shards && len(able) < want; i++ {
 		open = append(open, i)
