--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"slices"
@@ -88,13 +89,57 @@
 	n.mu.Lock()
 	n.setCatalog(c.Breeds)
 	when := []protocol.Cond{{Path: storage.LeaderKey, Stamp: n.leaderRec.stamp}}
+	writes := catalogWrites(c, n.limits())
 	n.mu.Unlock()
-	if _, err := n.state.Multi(ctx, protocol.Txn{When: when, Writes: []protocol.Write{{Put: storage.CatalogKey, Data: c}}}); err != nil {
+	if _, err := n.state.Multi(ctx, protocol.Txn{When: when, Writes: writes}); err != nil {
 		slog.Info("catalog not written", "err", err)
 	}
 	n.wake()
 }
 
+// catalogWrites writes a catalog in one value, or in parts if that is too small.
+func catalogWrites(c protocol.Catalog, lim config.Limits) []protocol.Write {
+	if raw, err := json.Marshal(c); err == nil && len(raw) <= lim.ValueBytes() {
+		return []protocol.Write{{Put: storage.CatalogKey, Data: c}}
+	}
+	var parts []storage.CatalogPart
+	for _, b := range c.Breeds {
+		if k := len(parts) - 1; k >= 0 {
+			more := storage.CatalogPart{Of: protocol.MaxBody, Breeds: append(slices.Clone(parts[k].Breeds), b)}
+			if raw, err := json.Marshal(more); err == nil && len(raw) <= lim.ValueBytes() {
+				parts[k] = more
+				continue
+			}
+		}
+		parts = append(parts, storage.CatalogPart{Breeds: []protocol.Breed{b}})
+	}
+	var writes []protocol.Write
+	for k := range parts {
+		parts[k].Of = len(parts)
+		writes = append(writes, protocol.Write{Put: storage.CatalogPartKey(k), Data: parts[k]})
+	}
+	return writes
+}
+
+// applyCatalogPart takes a catalog over once all its parts are there.
+func (n *Node) applyCatalogPart(k int, data []byte, stamp uint64) error {
+	if err := put(n.catalogParts, k, data, stamp); err != nil {
+		return err
+	}
+	var all []protocol.Breed
+	for i := range n.catalogParts[k].v.Of {
+		p := n.catalogParts[i]
+		if p.stamp != stamp {
+			return nil
+		}
+		all = append(all, p.v.Breeds...)
+	}
+	if len(all) > 0 {
+		n.setCatalog(all)
+	}
+	return nil
+}
+
 func (n *Node) rentCall(l *leader, e *expected, now time.Time) func(context.Context) {
 	var batch []*expected
 	for _, x := range l.coming {
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -90,6 +90,9 @@
 	if mine, err := n.applyForm(path, data, stamp); mine {
 		return err
 	}
+	if k, ok := storage.CutCatalogPart(path); ok {
+		return n.applyCatalogPart(k, data, stamp)
+	}
 	switch {
 	case path == storage.LeaderKey:
 		return one(&n.leaderRec, data, stamp)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -51,16 +51,18 @@
 	pieces     map[int]map[int]*pieceRec
 	parts      map[string]map[int]entry[storage.Part] // what is done of live jobs
 	marks      map[string]entry[storage.Mark]
-	form       entry[storage.Form]
-	seen       uint64         // the newest change that the copies show
-	owner      map[string]int // the shard of each granted machine
-	jobs       map[string]*jobRec
-	unread     map[string]bool // live jobs whose record can't be read
-	term       entry[storage.Term]
-	leaderRec  entry[storage.Node]
-	catalog    []protocol.Breed
-	sizes      map[string]placement.Vector
-	teams      map[string]team
+
+	catalogParts map[int]entry[storage.CatalogPart]
+	form         entry[storage.Form]
+	seen         uint64         // the newest change that the copies show
+	owner        map[string]int // the shard of each granted machine
+	jobs         map[string]*jobRec
+	unread       map[string]bool // live jobs whose record can't be read
+	term         entry[storage.Term]
+	leaderRec    entry[storage.Node]
+	catalog      []protocol.Breed
+	sizes        map[string]placement.Vector
+	teams        map[string]team
 
 	shards  map[int]*shard // those held by this controller
 	others  map[string]*Status
@@ -115,7 +117,7 @@
 		unknown:    map[string]bool{},
 		aliveNodes: map[string]entry[storage.Node]{}, shardRecs: map[int]entry[storage.Shard]{},
 		grantRecs: map[int]entry[storage.Grant]{}, heads: map[int]entry[storage.Grant]{}, pieces: map[int]map[int]*pieceRec{},
-		parts: map[string]map[int]entry[storage.Part]{}, marks: map[string]entry[storage.Mark]{}, owner: map[string]int{}, jobs: map[string]*jobRec{}, unread: map[string]bool{}, sizes: map[string]placement.Vector{},
+		parts: map[string]map[int]entry[storage.Part]{}, marks: map[string]entry[storage.Mark]{}, catalogParts: map[int]entry[storage.CatalogPart]{}, owner: map[string]int{}, jobs: map[string]*jobRec{}, unread: map[string]bool{}, sizes: map[string]placement.Vector{},
 		teams: map[string]team{}, shards: map[int]*shard{}, others: map[string]*Status{},
 		ended: map[string]storage.End{}, refuse: map[kind]time.Time{}, gone: map[string]bool{}, bad: map[string]bool{}}
 	n.pending = map[string]pending{}
--- a/internal/coordination/size_test.go
+++ b/internal/coordination/size_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"reedtrack/internal/config"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
 )
@@ -129,3 +132,31 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A catalog that is larger than a value is kept in parts, and shows as a whole.
+func TestLongCatalog(t *testing.T) {
+	n := New(newWorld(1, nil).set, newWorld(1, nil).set.Defaults(), nil, nil, nil, nil)
+	var c protocol.Catalog
+	for i := range 25 {
+		b := simBreeds[0]
+		b.Name = fmt.Sprintf("type-%d", i)
+		c.Breeds = append(c.Breeds, b)
+	}
+	writes := catalogWrites(c, config.Limits{ValueKB: 1})
+	for i, w := range writes {
+		raw, _ := json.Marshal(w.Data)
+		if len(raw) > 1024 {
+			t.Errorf("%d bytes at %s", len(raw), w.Put)
+		}
+		if len(n.catalog) != 0 {
+			t.Errorf("%d of %d parts count", i, len(writes))
+		}
+		n.apply(w.Put, raw, 9)
+	}
+	if diff := cmp.Diff(c.Breeds, n.catalog); diff != "" || len(writes) < 3 {
+		t.Error(len(writes), diff)
+	}
+	if w := catalogWrites(protocol.Catalog{Breeds: simBreeds}, config.Limits{ValueKB: 1}); len(w) != 1 || w[0].Put != storage.CatalogKey {
+		t.Error("a short catalog is not written as before")
+	}
+}
--- /dev/null
+++ b/internal/coordination/waits_test.go
@@ -0,0 +1,184 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// live makes a job's record known to a controller.
+func live(n *Node, stamp uint64, j protocol.Job) {
+	j.Team, j.Shape = "red", "array"
+	if j.Tasks == 0 {
+		j.Tasks = 1
+	}
+	raw, _ := json.Marshal(storage.Job{Spec: j, AtMS: n.now().UnixMilli()})
+	n.apply(storage.JobKey(j.ID), raw, stamp)
+}
+
+// A job is held until every job named has a stored end, done: a record that is
+// merely missing may have ended either way, and no report counts.
+func TestHeldUntilStoredEnds(t *testing.T) {
+	w := newWorld(1, nil)
+	n := New(w.set, w.set.Defaults(), nil, nil, nil, nil)
+	s := newShard(0, storage.Shard{Term: 1}, 1, time.Now())
+	s.settled = true
+	n.shards[0] = s
+	live(n, 5, protocol.Job{ID: "wk-1"})
+	live(n, 6, protocol.Job{ID: "wk-2"})
+	live(n, 7, protocol.Job{ID: "wk-3", Waits: []string{"wk-1", "wk-2"}})
+	j := s.jobs["wk-3"]
+	queued := func() bool {
+		for _, q := range s.order(n.planner(time.Now()), time.Now()) {
+			if q == j {
+				return true
+			}
+		}
+		return false
+	}
+	s.jobs["wk-1"].finish(0) // as reported
+	n.resolve()
+	if !j.held || queued() || !n.jobs["wk-3"].waiting() {
+		t.Fatal("not held by a job that is only reported done")
+	}
+	n.apply(storage.JobKey("wk-1"), nil, 8)
+	n.apply(storage.JobKey("wk-2"), nil, 9)
+	if !j.held || !n.unknown["wk-1"] || !n.unknown["wk-2"] {
+		t.Fatal("free by records that are missing")
+	}
+	late := time.Now().Add(-time.Minute).UnixMilli()
+	n.noteEnd("wk-1", storage.End{Status: protocol.Done, AtMS: late})
+	n.resolve()
+	if !j.held {
+		t.Fatal("free by one end of two")
+	}
+	n.noteEnd("wk-2", storage.End{Status: protocol.Done}) // by the version before
+	n.resolve()
+	if j.held || !queued() || j.atMS != n.jobs["wk-3"].rec.AtMS {
+		t.Errorf("held %v, counts from %d", j.held, j.atMS)
+	}
+}
+
+// The urgency and the due time of a step come from those that need it, are
+// derived anew when one comes, and go when it is cancelled.
+func TestInheritance(t *testing.T) {
+	w := newWorld(1, nil)
+	n := New(w.set, w.set.Defaults(), nil, nil, nil, nil)
+	live(n, 5, protocol.Job{ID: "wk-1", Urgency: "low", GuessS: 10})
+	if w := n.jobs["wk-1"].wait; w.level != protocol.Low || !math.IsInf(w.byMS, 1) {
+		t.Fatalf("%+v", w)
+	}
+	due := 100.0
+	live(n, 6, protocol.Job{ID: "wk-2", Urgency: "normal", GuessS: 20, Waits: []string{"wk-1"}})
+	live(n, 7, protocol.Job{ID: "wk-3", Urgency: "high", GuessS: 5, DueS: &due, Waits: []string{"wk-2"}})
+	at := float64(n.jobs["wk-3"].rec.AtMS)
+	if w := n.jobs["wk-1"].wait; w.level != protocol.High || w.byMS != at+100e3-5e3-20e3 {
+		t.Errorf("%+v, due 75 s from %f", w, at)
+	}
+	n.apply(storage.JobKey("wk-3"), nil, 8)
+	if w := n.jobs["wk-1"].wait; w.level != protocol.Normal || !math.IsInf(w.byMS, 1) {
+		t.Errorf("after the last step is gone: %+v", w)
+	}
+}
+
+// Chains, fans and diamonds behind a cancelled job are cancelled with it, those
+// submitted while it is being cancelled too, and before a poll can tell
+// otherwise; what waits for a job that was done first goes on.
+func TestCancellationPassesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, nil)
+		w.set.Deployment.Count = 1
+		ctx, stop := context.WithCancel(context.Background())
+		w.ctx = ctx
+		w.nodes = []*simNode{{name: "n0"}}
+		n := New(w.set, w.set.Defaults(), storage.NewClientOver(&wire{s: w.store, rnd: rand.New(rand.NewPCG(1, 1))}, 300, 200, 1), simCloud{w}, nil, w.direct)
+		s := Service{n}
+		submit := func(id string, waits string) int {
+			body := strings.Replace(submission, "wk-000001", id, 1)
+			code, _ := s.Submit(ctx, []byte(strings.Replace(body, `"parts"`, `"waits_on":`+waits+`,"parts"`, 1)))
+			return code
+		}
+		status := func(id string) string {
+			_, a := s.Poll(ctx, id)
+			st, _ := a.(protocol.JobStatus)
+			return st.Status
+		}
+		w.goes(func() { n.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		for _, c := range []struct {
+			id, waits string
+			code      int
+		}{{"wk-1", "null", 201}, {"wk-2", `["wk-1"]`, 201}, {"wk-2", `["wk-1"]`, 200}, {"wk-9", `["wk-404"]`, 422}, {"wk-9", `["wk-9"]`, 422},
+			{"wk-9", `"wk-1"`, 400}, {"wk-9", `["wk1"]`, 400}, {"wk-3", `["wk-1"]`, 201}, {"wk-4", `["wk-2","wk-3","wk-2"]`, 201}, {"wk-5", "[]", 201}, {"wk-6", `["wk-5"]`, 201}} {
+			if code := submit(c.id, c.waits); code != c.code {
+				t.Errorf("%s after %s: %d, not %d", c.id, c.waits, code, c.code)
+			}
+		}
+		var fan []string
+		for i := range 12 { // wider than a transaction
+			fan = append(fan, fmt.Sprintf("wk-10%d", i))
+			submit(fan[i], `["wk-4"]`)
+		}
+		w.goes(func() { s.Withdraw(ctx, "wk-1") })
+		w.goes(func() { submit("wk-7", `["wk-1"]`) })
+		time.Sleep(20 * time.Second)
+		if code := submit("wk-8", `["wk-1"]`); code != http.StatusCreated {
+			t.Errorf("after a cancelled one: %d", code)
+		}
+		if st := status("wk-8"); st != protocol.Withdrawn {
+			t.Errorf("a poll says %s", st)
+		}
+		for _, id := range append(fan, "wk-1", "wk-2", "wk-3", "wk-4", "wk-7") {
+			if st := status(id); st != protocol.Withdrawn {
+				t.Errorf("%s is %s", id, st)
+			}
+		}
+		if st := status("wk-6"); st == protocol.Withdrawn {
+			t.Error("another chain was cancelled")
+		}
+		stop()
+		w.wg.Wait()
+	})
+}
+
+// All that is done of 100,000 tasks, in any order, fits parts of small values,
+// and is the same when read; the record stays as it was.
+func TestPartsKeepAll(t *testing.T) {
+	w := newWorld(1, nil)
+	n := New(w.set, w.set.Defaults(), nil, nil, nil, nil)
+	n.apply(storage.FormKey, []byte(`{"form":2}`), 1)
+	w.set.Deployment.State.ValueKB = 2
+	sp := protocol.Job{ID: "wk-1", Tasks: 100000}
+	live(n, 5, sp)
+	s := newShard(0, storage.Shard{Term: 1}, 1, time.Now())
+	n.shards[0] = s
+	s.addJob(n.newJob(n.jobs["wk-1"]))
+	j, rnd := s.jobs["wk-1"], rand.New(rand.NewPCG(1, 2))
+	for range 60000 {
+		j.done.Add(rnd.IntN(100000))
+	}
+	stamp := uint64(6)
+	for len(n.unsavedParts(j)) > 0 {
+		p := n.unsavedParts(j)[0]
+		raw, _ := json.Marshal(p)
+		if len(raw) > 2<<10 {
+			t.Fatalf("%d bytes in a part", len(raw))
+		}
+		n.apply(storage.PartKey("wk-1", p.From), raw, stamp)
+		stamp++
+	}
+	got, err := n.doneOf(n.jobs["wk-1"])
+	if err != nil || got.String() != j.done.String() || n.jobs["wk-1"].stamp != 5 {
+		t.Errorf("read anew: %d of %d, %v", got.Len(), j.done.Len(), err)
+	}
+}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -97,3 +97,20 @@
 		}
 	}
 }
+
+// The jobs that one waits for: absent, null and empty are the same, names count
+// once, and what is no list of ids is refused by its field.
+func TestParseWaits(t *testing.T) {
+	job := strings.Replace(good, `"later":1}`, `"waits_on":`, 1)
+	for text, want := range map[string]int{"null": 0, "[]": 0, `["wk-2"]`: 1, `["wk-3","wk-2","wk-3"]`: 2} {
+		if j, err := ParseJob([]byte(job + text + "}")); err != nil || len(j.Waits) != want {
+			t.Errorf("%s: %+v, %v", text, j, err)
+		}
+	}
+	for _, text := range []string{`"wk-2"`, `[2]`, `["wk2"]`, `{}`, `[null]`, `[""]`} {
+		var bad *BadField
+		if _, err := ParseJob([]byte(job + text + "}")); !errors.As(err, &bad) || bad.Field != FieldWaits {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- a/internal/storage/ranges_test.go
+++ b/internal/storage/ranges_test.go
@@ -28,6 +28,17 @@
 		if err != nil || len(text) > limit {
 			t.Fatalf("Fit(%d) = %q: %v", limit, text, err)
 		}
+		from := rapid.IntRange(0, most).Draw(t, "from")
+		to := rapid.IntRange(from, most).Draw(t, "to")
+		var some Set
+		if err := some.AddPart(s.Part(from, to), from, most); err != nil || some.Len() != s.Count(from, to) {
+			t.Fatalf("part %d to %d: %d of %d, %v", from, to, some.Len(), s.Count(from, to), err)
+		}
+		for i := range most {
+			if some.Has(i) != (model[i] && i >= from && i < to) {
+				t.Fatalf("%d is wrong in part %q", i, s.Part(from, to))
+			}
+		}
 		if whole.Len() != len(model) {
 			t.Fatalf("%d of %d came back", whole.Len(), len(model))
 		}
@@ -42,4 +53,10 @@
 			t.Errorf("%q was read", bad)
 		}
 	}
+	for _, bad := range []string{"!*", "x-", "!////////////////////////////////////////////"} {
+		var s Set
+		if err := s.AddPart(bad, 900, 1000); err == nil {
+			t.Errorf("part %q was read", bad)
+		}
+	}
 }
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -60,10 +60,19 @@
 	Done string `json:"done"`
 }
 
-func MarkKey(node string) string         { return mark + node }
-func PieceKey(i, k int) string           { return fmt.Sprintf("%s%d/%d", piece, i, k) }
-func PartKey(id string, from int) string { return fmt.Sprintf("%s%s/%d", part, id, from) }
-func CutMark(key string) (string, bool)  { return strings.CutPrefix(key, mark) }
+// CatalogPart is some of a catalog that is larger than a value. All its parts
+// are written in one transaction, and so have one stamp.
+type CatalogPart struct {
+	Of     int              `json:"of"`
+	Breeds []protocol.Breed `json:"breeds"`
+}
+
+func CatalogPartKey(i int) string           { return fmt.Sprintf("%s/%d", CatalogKey, i) }
+func CutCatalogPart(key string) (int, bool) { return cutInt(key, CatalogKey+"/") }
+func MarkKey(node string) string            { return mark + node }
+func PieceKey(i, k int) string              { return fmt.Sprintf("%s%d/%d", piece, i, k) }
+func PartKey(id string, from int) string    { return fmt.Sprintf("%s%s/%d", part, id, from) }
+func CutMark(key string) (string, bool)     { return strings.CutPrefix(key, mark) }
 func CutPiece(key string) (i, k int, ok bool) {
 	rest, ok := strings.CutPrefix(key, piece)
 	if !ok {
