Rent ordinary machines for work within guarantees only if it is urgent

A boot of 20 to 50 s is over the 15 s that the guarantee aims at, so such a machine comes too late for the work that it is rented for.

--- a/internal/coordination/wanted.go
+++ b/internal/coordination/wanted.go
@@ -124,7 +124,7 @@
 				can = append(can, k)
 			}
 		}
-		if len(can) > 0 || spot && j.spec.Spot && !j.within && j.level < protocol.High && s.hosts(j) {
+		if len(can) > 0 || spot && j.spec.Spot && j.level < protocol.High && s.hosts(j) {
 			break
 		}
 	}
