Give machines back a few pieces at a time when writes are few

Since grants are divided its piece was one of several in a transaction, which needs as many writes as it has changes; while jobs ended there were never so many at once. 358 such machines stood idle until they counted as silent. A poll that meets another's cancellation reads again instead of answering 503.

--- a/internal/coordination/giveback.go
+++ b/internal/coordination/giveback.go
@@ -1,9 +1,11 @@
 package coordination
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"reedtrack/internal/protocol"
@@ -71,15 +73,16 @@
 		}
 		if g.v.Of != 0 {
 			out = nil
-			for k, p := range n.pieces[i] {
-				if p.v.Of != g.v.Of || len(txn.Writes) == lim.TxnOps || (len(txn.Writes)+2)*lim.ValueBytes() > protocol.MaxBody {
-					continue
-				}
-				if kept, gone := s.keptBlocks(p.v.Blocks); len(gone) > 0 {
-					txn.When = append(txn.When, n.pieceCond(i, k))
-					txn.Writes = append(txn.Writes, protocol.Write{Put: storage.PieceKey(i, k), Data: storage.Piece{Of: p.v.Of, Blocks: kept}})
-					out = append(out, gone...)
+			for _, c := range n.lighter(s, g.v.Of) {
+				// No more than there are writes for: a transaction that waits
+				// for all that it could hold waits for ever while others are
+				// written, and machines that were given up stand idle.
+				if len(txn.Writes) > 0 && (len(txn.Writes) >= min(lim.TxnOps, n.state.Had()) || (len(txn.Writes)+2)*lim.ValueBytes() > protocol.MaxBody) {
+					break
 				}
+				txn.When = append(txn.When, n.pieceCond(i, c.k))
+				txn.Writes = append(txn.Writes, protocol.Write{Put: storage.PieceKey(i, c.k), Data: storage.Piece{Of: g.v.Of, Blocks: c.kept}})
+				out = append(out, c.out...)
 			}
 		}
 		if len(txn.Writes) == 0 {
@@ -118,6 +121,29 @@
 	return kept, out
 }
 
+// lightened is a piece without the blocks that are given back.
+type lightened struct {
+	k    int
+	kept []storage.Block
+	out  []string
+}
+
+// lighter lists the pieces of which blocks are given back, those with most of
+// them first.
+func (n *Node) lighter(s *shard, of uint64) []lightened {
+	var list []lightened
+	for k, p := range n.pieces[s.index] {
+		if p.v.Of != of {
+			continue
+		}
+		if kept, out := s.keptBlocks(p.v.Blocks); len(out) > 0 {
+			list = append(list, lightened{k, kept, out})
+		}
+	}
+	slices.SortFunc(list, func(a, b lightened) int { return cmp.Or(len(b.out)-len(a.out), a.k-b.k) })
+	return list
+}
+
 // lowerShares are a shard's shares without what it gives back, and whether that
 // is worth a write.
 func (n *Node) lowerShares(s *shard, shares map[string]storage.Amount) (next map[string]storage.Amount, lowered bool) {
--- a/internal/coordination/progress.go
+++ b/internal/coordination/progress.go
@@ -81,7 +81,7 @@
 		w := &progress[i]
 		if n.switched() {
 			w.parts = n.unsavedParts(w.j)
-			w.parts = w.parts[:min(len(w.parts), n.limits().TxnOps, max(1, (protocol.MaxBody-around)/n.limits().ValueBytes()))]
+			w.parts = w.parts[:min(len(w.parts), n.limits().TxnOps, max(1, n.state.Spare()), max(1, (protocol.MaxBody-around)/n.limits().ValueBytes()))]
 			for _, p := range w.parts {
 				w.txn.When = append(w.txn.When, protocol.Cond{Path: storage.PartKey(w.j.id, p.From), Stamp: n.parts[w.j.id][p.From].stamp})
 				w.txn.Writes = append(w.txn.Writes, protocol.Write{Put: storage.PartKey(w.j.id, p.From), Data: p})
--- a/internal/coordination/size_test.go
+++ b/internal/coordination/size_test.go
@@ -160,3 +160,27 @@
 		t.Error("a short catalog is not written as before")
 	}
 }
+
+// Machines of many pieces are given back a few pieces at a time when writes are
+// few: a transaction of all of them would wait for ever (inc-fdf3).
+func TestGiveBackWithFewWrites(t *testing.T) {
+	w := newWorld(1, nil)
+	w.set.Deployment.State.WriteRPS = 3
+	var sent []protocol.Txn
+	n := New(w.set, w.set.Defaults(), storage.NewClientOver(recorder{&sent}, 1000, 3, 1), nil, nil, nil)
+	n.apply(storage.FormKey, []byte(`{"form":2}`), 1)
+	n.apply(storage.GrantKey(0), []byte(`{"blocks":"in pieces","of":9,"shares":{}}`), 2)
+	s := newShard(0, storage.Shard{Term: 1}, 1, time.Now())
+	n.shards[0] = s
+	for k := range 6 {
+		raw, _ := json.Marshal(storage.Piece{Of: 9, Blocks: []storage.Block{{Machine: fmt.Sprint("m", k), Breed: "small"}}})
+		n.apply(storage.PieceKey(0, k), raw, uint64(3+k))
+	}
+	for _, m := range s.machines {
+		m.release = true
+	}
+	n.writeGrants(t.Context())
+	if len(sent) != 1 || len(sent[0].Writes) < 1 || len(sent[0].Writes) > 3 || len(s.machines) != 6 {
+		t.Errorf("%d transactions %+v", len(sent), sent)
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -201,6 +201,9 @@
 		}
 		if doomed {
 			end, err := n.cancel(ctx, rec)
+			if errors.Is(err, storage.ErrConflict) {
+				return n.Poll(ctx, id) // the record has changed: cancelled by another, or moved
+			}
 			if err != nil {
 				return st, false, ErrUnsure
 			}
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -115,6 +115,9 @@
 	}
 }
 
+// Had is how many writes may be made now.
+func (c *Client) Had() int { return max(0, int(c.changes.Tokens())) }
+
 // Spare is how many writes may be made now that can as well wait, while half
 // of what is had stays for those that can't.
 func (c *Client) Spare() int {
