--- a/internal/coordination/cloud.go
+++ b/internal/coordination/cloud.go
@@ -144,7 +144,7 @@
 	var batch []*expected
 	for _, x := range l.coming {
 		if x.ask == e.ask {
-			x.inCall = true
+			x.inCall, x.sent = true, true
 			batch = append(batch, x)
 		}
 	}
@@ -180,7 +180,12 @@
 				}
 			}
 		}
-		l.drop(func(x *expected) bool { return x.ask == r.Ask && x.id == "" })
+		// What the cloud has none of is not asked for again and again while
+		// requests for other machines wait their turn.
+		short := len(names) < len(batch)
+		l.drop(func(x *expected) bool {
+			return x.id == "" && (x.ask == r.Ask || short && !x.sent && x.kind == kind{r.Breed, r.Zone, r.Spot})
+		})
 		n.wake()
 	}
 }
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -254,3 +254,32 @@
 		t.Error("still in the shard that it left")
 	}
 }
+
+// What the cloud has none of is not asked for again by requests that were
+// queued before, but one that may have been carried out is repeated.
+func TestShortAnswerDropsQueue(t *testing.T) {
+	w := newWorld(1, nil)
+	n := New(w.set, w.set.Defaults(), nil, noCloud{}, nil, nil)
+	now := time.Now()
+	l := newLeader(1, now)
+	l.since, l.listed = now.Add(-time.Minute), now
+	small, big := kind{"small", "a", true}, kind{"big", "a", true}
+	l.order(0, rentWant{small, 3*protocol.MaxRental - 1}, now)
+	l.order(0, rentWant{big, 1}, now)
+	last := l.coming[len(l.coming)-2] // of the third request for small ones
+	for _, e := range l.coming {
+		e.sent = e.ask == last.ask
+	}
+	n.rentCall(l, l.coming[0], now)(context.Background())
+	left := map[string]int{}
+	for _, e := range l.coming {
+		left[e.kind.Breed]++
+	}
+	if left["small"] != protocol.MaxRental-1 || left["big"] != 1 {
+		t.Errorf("still asked for: %v", left)
+	}
+}
+
+type noCloud struct{ Cloud }
+
+func (noCloud) Rent(context.Context, protocol.Rental) ([]string, error) { return nil, ErrNoCapacity }
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -56,6 +56,7 @@
 	since  time.Time
 	batch  int
 	inCall bool
+	sent   bool // asked for once at least: it may have been carried out
 }
 
 func newLeader(stamp uint64, now time.Time) *leader {
