--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -283,3 +283,27 @@
 type noCloud struct{ Cloud }
 
 func (noCloud) Rent(context.Context, protocol.Rental) ([]string, error) { return nil, ErrNoCapacity }
+
+// In the split form a change of blocks alone does not raise a share that is
+// being lowered: the write that lowers it may still be applied.
+func TestLoweredShareStaysSplit(t *testing.T) {
+	w := newWorld(1, nil)
+	st := storage.NewClientOver(tripper(func(*http.Request) (*http.Response, error) { return nil, errors.New("lost") }), 1000, 1000, 1)
+	n := New(w.set, w.set.Defaults(), st, nil, nil, nil)
+	n.apply(storage.FormKey, []byte(`{"form":2}`), 1)
+	n.apply(storage.GrantKey(0), []byte(`{"blocks":"in pieces","of":9,"shares":{"red":{"c":14}}}`), 2)
+	s := newShard(0, storage.Shard{Term: 1}, 1, time.Now())
+	s.setGrant(n.grantRecs[0].v, size4, time.Now())
+	n.shards[0] = s
+	n.others["n1"] = &Status{Shards: []ShardStatus{{Index: 1, Wanted: map[string]storage.Amount{"red": {Cores: 5}}}}}
+	n.writeGrants(context.Background())
+	raw, _ := json.Marshal(storage.Piece{Of: 9, Blocks: []storage.Block{{Machine: "a", Breed: "small", Zone: "a", Term: 2}}})
+	n.apply(storage.PieceKey(0, 0), raw, 3)
+	if s.shares["red"].Cores != 0 || s.machines["a"] == nil {
+		t.Fatalf("share %v, machines %v", s.shares["red"], s.machines)
+	}
+	n.apply(storage.GrantKey(0), []byte(`{"blocks":"in pieces","of":9,"shares":{"red":{"c":4}}}`), 4)
+	if s.shares["red"].Cores != 4 {
+		t.Errorf("newer record not taken: %v", s.shares["red"])
+	}
+}
--- /dev/null
+++ b/internal/storage/replica_test.go
@@ -0,0 +1,80 @@
+package storage
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/standin"
+)
+
+// between serves a store and changes it after the first page of a list.
+type between struct {
+	s      *standin.Store
+	change func()
+}
+
+func (b *between) RoundTrip(r *http.Request) (*http.Response, error) {
+	var body []byte
+	if r.Body != nil {
+		body, _ = io.ReadAll(r.Body)
+	}
+	code, answer := b.s.Serve(r.Context(), r.Method, r.URL.Path, r.URL.Query(), body)
+	if r.URL.Path == "/keys" && b.change != nil {
+		b.change()
+		b.change = nil
+	}
+	raw, _ := json.Marshal(answer)
+	return &http.Response{StatusCode: code, Body: io.NopCloser(bytes.NewReader(raw)), Header: http.Header{}, Request: r}, nil
+}
+
+// A copy that is read page by page shows one moment: a change of two records
+// between the pages shows in both or in none.
+func TestReplicaShowsOneMoment(t *testing.T) {
+	s := standin.NewStore()
+	write := func(w ...protocol.Write) {
+		raw, _ := json.Marshal(protocol.Txn{Writes: w})
+		if code, _ := s.Serve(t.Context(), "POST", "/multi", nil, raw); code != 200 {
+			t.Fatal(code)
+		}
+	}
+	first, last := "r/a", "r/z"
+	write(protocol.Write{Put: first, Data: "old"}, protocol.Write{Put: last, Data: "old"}, protocol.Write{Put: "r/gone", Data: 1})
+	for i := range 30 {
+		write(protocol.Write{Put: fmt.Sprintf("r/m%02d", i), Data: i})
+	}
+	b := &between{s: s, change: func() {
+		write(protocol.Write{Put: first, Data: "new"}, protocol.Write{Put: last, Data: "new"}, protocol.Write{Delete: "r/gone"})
+	}}
+	copied := map[string]string{}
+	calls := 0
+	ctx, stop := context.WithCancel(t.Context())
+	r := &Replica{Client: NewClientOver(b, 1000, 1000, 1), Poll: time.Millisecond, Synced: func(time.Time) { stop() },
+		Apply: func(batch []protocol.Change) {
+			calls++
+			var stamp uint64
+			for _, c := range batch {
+				if c.Stamp < stamp {
+					t.Error("out of order")
+				}
+				if stamp = c.Stamp; c.Put != "" {
+					copied[c.Put] = string(c.Data)
+				} else {
+					delete(copied, c.Delete)
+				}
+			}
+			if copied[first] != copied[last] {
+				t.Errorf("%s beside %s", copied[first], copied[last])
+			}
+		}}
+	r.Run(ctx)
+	if calls == 0 || copied[first] != `"new"` || copied["r/gone"] != "" || len(copied) != 32 {
+		t.Errorf("%d calls, %d records, %s", calls, len(copied), copied[first])
+	}
+}
