--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -105,3 +105,33 @@
 		}
 	}
 }
+
+// The limits that the state service will have are checked like those it has,
+// and the lower of both hold; without them the present ones do.
+func TestNextLimits(t *testing.T) {
+	s, err := Parse("site.toml", []byte(site))
+	if err != nil || s.Limits() != s.limits() {
+		t.Fatal(err, s.Limits())
+	}
+	for next, want := range map[string]string{
+		"write_rps = 42.0\nvalue_kb = 2.0\ntxn_ops = 4":  "",
+		"write_rps = 42.0\nvalue_kb = 2.0\ntxn_ops = 3":  "txn_ops",
+		"write_rps = 42.0\nvalue_kb = 0.5\ntxn_ops = 4":  "value_kb",
+		"value_kb = 2.0\ntxn_ops = 4":                    "write_rps",
+		"write_rps = 42.0\nvalue_kb = -2.0\ntxn_ops = 4": "value_kb",
+	} {
+		s, err := Parse("site.toml", []byte(site+"\n[deployment.state.next]\n"+next+"\n"))
+		if want != "" {
+			if err == nil || !strings.Contains(err.Error(), want) {
+				t.Errorf("%q: %v, want %s", next, err, want)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if l := s.Limits(); l != (Limits{min(42, s.Deployment.State.WriteRPS), min(2, s.Deployment.State.ValueKB), 4}) || s.MostWaits() != l.ValueBytes()/2/24 {
+			t.Errorf("%+v, %d names", l, s.MostWaits())
+		}
+	}
+}
