--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -44,6 +44,10 @@
 write_rps = 200.0
 value_kb = 32.0
 txn_ops = 12
+[deployment.state.next]
+write_rps = 40.0
+value_kb = 2.0
+txn_ops = 4
 [deployment.cloud]
 rps = 10.0
 list_lag_s = 1.0
@@ -77,7 +81,9 @@
 		{Name: "small", Cores: 4, RAM: 16, CacheGB: 50, FetchGB: 1, Rate: 0.3, LowRate: 0.1, ReadyS: 3, Zones: []string{"a", "b"}},
 		{Name: "big", Cores: 16, RAM: 64, CacheGB: 50, FetchGB: 1, Rate: 1.1, LowRate: 0.4, ReadyS: 5, Zones: []string{"a"}},
 	}
-	go func() { log.Fatal(http.ListenAndServe("127.0.0.1:8071", standin.NewStore())) }()
+	store := standin.NewStore()
+	store.Limit(32<<10, 12, 200)
+	go func() { log.Fatal(http.ListenAndServe("127.0.0.1:8071", store)) }()
 	fmt.Println("state service on 127.0.0.1:8071, cloud on 127.0.0.1:8070")
 	log.Fatal(http.ListenAndServe("127.0.0.1:8070", standin.NewFleet(breeds, nodes, 1, 10)))
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -260,9 +260,24 @@
 	}
 }
 
-// ServeHTTP answers over HTTP.
+// ServeHTTP answers over HTTP. What the store takes can be changed while it runs
+// by a POST of value_kb, txn_ops and write_rps to /limits.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if r.URL.Path == "/limits" {
+		var l struct {
+			ValueKB  int `json:"value_kb"`
+			TxnOps   int `json:"txn_ops"`
+			WriteRPS int `json:"write_rps"`
+		}
+		if err := json.Unmarshal(body, &l); err != nil {
+			answerJSON(w, http.StatusBadRequest, protocol.Failure{Error: err.Error()})
+			return
+		}
+		s.Limit(l.ValueKB<<10, l.TxnOps, l.WriteRPS)
+		answerJSON(w, http.StatusOK, l)
+		return
+	}
 	status, answer := s.Serve(r.Context(), r.Method, r.URL.Path, r.URL.Query(), body)
 	answerJSON(w, status, answer)
 }
