Keep what the leader has saved of its budget for writes

Cause, found when reading the code again: with every turn the budget was set to one controller's part and then to the leader's, which cut off what it had saved up; the burst of a leader was a third of what it should be.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -177,9 +177,7 @@
 		n.mu.Unlock()
 		return 0
 	}
-	lim := n.limits()
-	n.state.Limit(lim.WriteRPS, n.set.Deployment.Count)
-	n.state.Lead(n.me(n.leaderRec.v))
+	n.state.Lead(n.me(n.leaderRec.v), n.limits().WriteRPS, n.set.Deployment.Count)
 	if !n.me(n.leaderRec.v) {
 		n.lead = nil
 		free := n.leaderRec.stamp == 0 || n.leaderRec.v.Name == n.set.HostName
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -76,7 +76,7 @@
 // NewClientOver returns a client over a round tripper of the caller's own.
 func NewClientOver(rt http.RoundTripper, rps, writeRPS float64, nodes int) *Client {
 	c := &Client{base: "http://state", overRate: rate.Sometimes{Interval: 10 * time.Second}, overSize: rate.Sometimes{Interval: time.Second},
-		writes: 0.9 * writeRPS / float64(nodes-1+leaderParts),
+		writes: onePart(writeRPS, nodes),
 		http:   transport.NewClientOver(rt, 2*time.Second),
 		watch:  transport.NewClientOver(rt, time.Minute),
 		renew:  transport.NewClientOver(rt, time.Second)}
@@ -85,6 +85,11 @@
 	return c
 }
 
+// onePart is one controller's part of the writes, or one of the leader's.
+func onePart(writeRPS float64, nodes int) float64 {
+	return 0.9 * writeRPS / float64(nodes-1+leaderParts)
+}
+
 func limiter(v float64) *rate.Limiter { return rate.NewLimiter(rate.Limit(v), burst(v)) }
 
 func burst(v float64) int { return max(1, int(v)) }
@@ -96,15 +101,11 @@
 	return time.Duration(float64(nodes) / (watchPart * 0.8 * rps) * float64(time.Second))
 }
 
-// Limit lowers the budget for writes to what the service will take.
-func (c *Client) Limit(writeRPS float64, nodes int) {
-	c.writes = 0.9 * writeRPS / float64(nodes-1+leaderParts)
-	c.changes.SetLimit(rate.Limit(c.writes))
-	c.changes.SetBurst(burst(c.writes))
-}
-
-// Lead gives the client the leader's part of the writes, or the others'.
-func (c *Client) Lead(leads bool) {
+// Lead gives the client the leader's part of the writes that the service takes,
+// or the others'. It changes the budget only when that is another: what was
+// saved up stays.
+func (c *Client) Lead(leads bool, writeRPS float64, nodes int) {
+	c.writes = onePart(writeRPS, nodes)
 	parts := 1.0
 	if leads {
 		parts = leaderParts
