--- /dev/null
+++ b/internal/outputs/spans.go
@@ -0,0 +1,105 @@
+package outputs
+
+import (
+	"slices"
+
+	pb "reedtrack/internal/outputs/outputsv1"
+)
+
+// Spans are ranges of records, in order and apart from each other.
+type Spans []*pb.Span
+
+// Add returns the spans with one more.
+func (s Spans) Add(from, to uint64) Spans {
+	if from >= to {
+		return s
+	}
+	i, _ := slices.BinarySearchFunc(s, from, func(x *pb.Span, v uint64) int {
+		if x.To < v {
+			return -1
+		}
+		return 1
+	}) // the first that touches or follows
+	j := i
+	for ; j < len(s) && s[j].From <= to; j++ {
+		from, to = min(from, s[j].From), max(to, s[j].To)
+	}
+	return slices.Replace(slices.Clone(s), i, j, &pb.Span{From: from, To: to})
+}
+
+// Sub returns the spans without a range.
+func (s Spans) Sub(from, to uint64) Spans {
+	var out Spans
+	for _, x := range s {
+		if x.To <= from || x.From >= to || from >= to {
+			out = append(out, x)
+			continue
+		}
+		if x.From < from {
+			out = append(out, &pb.Span{From: x.From, To: from})
+		}
+		if x.To > to {
+			out = append(out, &pb.Span{From: to, To: x.To})
+		}
+	}
+	return out
+}
+
+// Missing returns what of a range is not in the spans.
+func (s Spans) Missing(from, to uint64) Spans {
+	var out Spans
+	for _, x := range s {
+		if x.To <= from {
+			continue
+		}
+		if x.From >= to {
+			break
+		}
+		if x.From > from {
+			out = append(out, &pb.Span{From: from, To: x.From})
+		}
+		from = max(from, x.To)
+	}
+	if from < to {
+		out = append(out, &pb.Span{From: from, To: to})
+	}
+	return out
+}
+
+// Until is the end of the span that holds a record, or the record itself if none
+// does.
+func (s Spans) Until(seq uint64) uint64 {
+	for _, x := range s {
+		if x.From <= seq && seq < x.To {
+			return x.To
+		}
+	}
+	return seq
+}
+
+// After is the first record from one on that is in a span.
+func (s Spans) After(seq uint64) (uint64, bool) {
+	for _, x := range s {
+		if seq < x.To {
+			return max(seq, x.From), true
+		}
+	}
+	return 0, false
+}
+
+// End is the first record after all spans.
+func (s Spans) End() uint64 {
+	if len(s) == 0 {
+		return 0
+	}
+	return s[len(s)-1].To
+}
+
+// Count is how many records the spans hold.
+func (s Spans) Count() uint64 {
+	n := uint64(0)
+	for _, x := range s {
+		n += x.To - x.From
+	}
+	return n
+}
