--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,10 +9,13 @@
 	"math"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"reedtrack/internal/outputs/settings"
 )
 
 // Operator holds the operators' own settings. Every one has a default, which
@@ -24,6 +27,7 @@
 	HolderLease time.Duration // a controller's lease at the state service
 	Idle        float64       // an empty machine is kept for so many times what a new one's boot costs
 	Status      string        // address of the operators' endpoint; empty: none
+	Outputs     settings.Outputs
 }
 
 // Timing is what follows from both files.
@@ -44,12 +48,20 @@
 	HolderLease *float64 `xml:"holder-lease-s"`
 	Idle        *float64 `xml:"idle-boots"`
 	Status      *string  `xml:"status-listen"`
+
+	Outputs *settings.XML `xml:"outputs"`
 }
 
 var operatorNames = map[string]bool{"reedtrack": true, "reedtrack/ucfit": true, "reedtrack/ucfit/a": true,
 	"reedtrack/ucfit/b": true, "reedtrack/ucfit/c": true, "reedtrack/shards": true,
 	"reedtrack/fill-machines": true, "reedtrack/holder-lease-s": true, "reedtrack/idle-boots": true, "reedtrack/status-listen": true}
 
+// known tells whether an element, by its path, is one of the operators' file.
+func known(path string) bool {
+	rest, isOutputs := strings.CutPrefix(path, "reedtrack/outputs")
+	return operatorNames[path] || isOutputs && (rest == "" || rest[0] == '/' && slices.Contains(settings.Names, rest[1:]))
+}
+
 // Margin covers timers that fire late and answers under way.
 func (s *Settings) Margin() time.Duration {
 	return Seconds(s.Deployment.Workers.ReportS/2) + 500*time.Millisecond
@@ -161,6 +173,10 @@
 	if x.Status != nil {
 		op.Status = strings.TrimSpace(*x.Status)
 	}
+	var err error
+	if op.Outputs, err = readOutputs(file, x.Outputs); err != nil {
+		return op, err
+	}
 	for field, v := range map[string]float64{"ucfit/a": op.A, "ucfit/b": op.B, "ucfit/c": op.C} {
 		if !(v >= 0 && v <= 100) {
 			return op, &FieldError{file, field, "must be from 0 to 100"}
@@ -184,6 +200,35 @@
 	return op, s.Safe(file, op)
 }
 
+// LoadOutputs reads only what the operators' file says of task outputs, for
+// programs that have no settings of the platform; no path: the defaults.
+func LoadOutputs(path string) (settings.Outputs, error) {
+	if path == "" {
+		return settings.Defaults(), nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return settings.Outputs{}, &FieldError{path, "file", err.Error()}
+	}
+	if err := knownElements(path, raw); err != nil {
+		return settings.Outputs{}, err
+	}
+	var x operatorXML
+	if err := xml.Unmarshal(raw, &x); err != nil {
+		return settings.Outputs{}, &FieldError{path, "reedtrack", err.Error()}
+	}
+	return readOutputs(path, x.Outputs)
+}
+
+func readOutputs(file string, x *settings.XML) (settings.Outputs, error) {
+	o, err := x.Read()
+	var bad *settings.Bad
+	if errors.As(err, &bad) {
+		return o, &FieldError{file, "outputs/" + bad.Field, bad.Reason}
+	}
+	return o, err
+}
+
 // Safe checks the inequality on which cancellations rest: a holder that was
 // cut off acts no longer than its lease, and its workers no longer than theirs
 // after that; both must be over when a cancellation has to be complete.
@@ -227,7 +272,7 @@
 		case xml.StartElement:
 			path = append(path, t.Name.Local)
 			name := strings.Join(path, "/")
-			if !operatorNames[name] {
+			if !known(name) {
 				line, _ := dec.InputPos()
 				return &FieldError{file, name, fmt.Sprintf("unknown element on line %d", line)}
 			}
--- a/internal/outputs/block.go
+++ b/internal/outputs/block.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"encoding"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -205,3 +206,18 @@
 
 // Sum is the digest of what was added.
 func (d *Digest) Sum() []byte { return d.h.Sum(nil) }
+
+// State is what another process needs to go on with the digest.
+func (d *Digest) State() []byte {
+	raw, err := d.h.(encoding.BinaryMarshaler).MarshalBinary()
+	if err != nil {
+		panic(err) // crypto/sha256 always can
+	}
+	return raw
+}
+
+// DigestFrom goes on with a digest.
+func DigestFrom(state []byte) (*Digest, error) {
+	d := NewDigest()
+	return d, d.h.(encoding.BinaryUnmarshaler).UnmarshalBinary(state)
+}
--- a/internal/outputs/disk/commit.go
+++ b/internal/outputs/disk/commit.go
@@ -89,6 +89,11 @@
 	s.mu.Unlock()
 	select {
 	case err := <-r.done:
+		for _, it := range r.items {
+			if err == nil && len(it.e.GetSeal().GetArtefacts()) > 0 {
+				s.Held(it.e.Key) // notes that it is whole, for who lists it
+			}
+		}
 		return err
 	case <-s.done:
 		return ErrClosed
@@ -387,7 +392,7 @@
 		v := w.Seal
 		a.st.Sealed, a.st.Records, a.st.EndedNs, a.st.Exit, a.st.Signal, a.st.Cause, a.st.Digest = true, v.Records, v.EndedNs, v.Exit, v.Signal, v.Cause, v.Digest
 		a.st.Artefacts, a.st.Refused = uint32(len(v.Artefacts)), uint32(len(v.Refused))
-		a.st.Whole = len(v.Artefacts) == 0
+		a.st.Whole, a.st.ReceivedNs = len(v.Artefacts) == 0, v.ReceivedNs
 		a.seal = v
 		live()
 	case *pb.Entry_Thin:
--- a/internal/outputs/disk/model_test.go
+++ b/internal/outputs/disk/model_test.go
@@ -189,7 +189,7 @@
 		got := map[uint64]bool{}
 		from, end := uint64(0), h.Summary.Records
 		for from < end {
-			blocks, next, err := s.Blocks(key, from, 0, 200)
+			blocks, next, err := s.Blocks(key, from, 0, 0, 200)
 			if err != nil {
 				return err
 			}
@@ -396,7 +396,7 @@
 	if !s.Stats().Full {
 		t.Error("does not say that it is full")
 	}
-	if blocks, next, err := s.Blocks(key, 0, 0, 1<<20); err != nil || next != 6 || len(blocks) != 2 {
+	if blocks, next, err := s.Blocks(key, 0, 0, 0, 1<<20); err != nil || next != 6 || len(blocks) != 2 {
 		t.Fatalf("reads while full: %d blocks up to %d, %v", len(blocks), next, err)
 	}
 	s.abandonForTest()
@@ -450,7 +450,7 @@
 		for i := range uint64(30) { // ends the segment
 			s.Put(ctx, block(other, 4+4*i, 8+4*i))
 		}
-		refs, err := s.refs(key, 4, 0, 1<<20)
+		refs, err := s.refs(key, 4, 0, 0, 1<<20)
 		if err != nil || len(refs) != 1 {
 			t.Fatalf("%v %v", refs, err)
 		}
@@ -477,11 +477,11 @@
 			os.Remove(filepath.Join(dir, indexName))
 			s = openTest(t, dir, nil, &clock)
 		}
-		blocks, next, err := s.Blocks(key, 0, 0, 1<<20)
+		blocks, next, err := s.Blocks(key, 0, 0, 0, 1<<20)
 		if err != nil || len(blocks) != 1 || next != 4 {
 			t.Fatalf("%s: %d blocks up to %d, %v", by, len(blocks), next, err)
 		}
-		s.Blocks(key, 4, 0, 1<<20)
+		s.Blocks(key, 4, 0, 0, 1<<20)
 		h := s.Held(key)
 		if h.Complete || len(h.Spans) != 1 || h.Spans[0].To != 4 || s.Stats().Damaged == 0 {
 			t.Fatalf("%s: %v, %d damaged", by, h, s.Stats().Damaged)
@@ -490,7 +490,7 @@
 			t.Fatal(err)
 		}
 		for range 2 { // before and after the index has it
-			if blocks, next, err = s.Blocks(key, 0, 0, 1<<20); err != nil || next != 8 {
+			if blocks, next, err = s.Blocks(key, 0, 0, 0, 1<<20); err != nil || next != 8 {
 				t.Fatalf("%s, repaired: %d blocks up to %d, %v", by, len(blocks), next, err)
 			}
 			if h := s.Held(key); !h.Complete {
@@ -498,7 +498,7 @@
 			}
 			s.Flush()
 		}
-		if _, next, _ := s.Blocks(other, 0, 0, 1<<20); next != 124 {
+		if _, next, _ := s.Blocks(other, 0, 0, 0, 1<<20); next != 124 {
 			t.Fatalf("%s: the other attempt ends at %d", by, next)
 		}
 		s.Close()
@@ -524,7 +524,7 @@
 	seen, from := uint64(0), uint64(0)
 	var before Stats
 	for from < 120 {
-		blocks, next, err := s.Blocks(key, from, 0, 300)
+		blocks, next, err := s.Blocks(key, from, 0, 0, 300)
 		if err != nil || len(blocks) == 0 {
 			t.Fatalf("at %d: %v", from, err)
 		}
@@ -553,7 +553,7 @@
 	if seen != 120 {
 		t.Errorf("%d records seen", seen)
 	}
-	if _, _, err := s.Blocks(other, 0, 0, 300); !errors.Is(err, ErrNone) {
+	if _, _, err := s.Blocks(other, 0, 0, 0, 300); !errors.Is(err, ErrNone) {
 		t.Errorf("dropped: %v", err)
 	}
 	for worked := true; worked; {
@@ -573,26 +573,27 @@
 	s := openTest(t, dir, nil, &clock)
 	ctx := context.Background()
 	key, other := outputs.Key(name(0, 1)), outputs.Key(name(1, 1))
+	compact := func(from uint64) { // ends the log, and compacts it
+		for i := range uint64(20) {
+			s.Put(ctx, block(other, from+4*i, from+4*i+4))
+		}
+		s.Flush()
+		clock = clock.Add(time.Hour)
+		if worked, err := s.Compact(ctx, free); err != nil || !worked {
+			t.Fatal(worked, err)
+		}
+	}
+	compact(0) // its base is low: older entries may stand in it, and drops are kept
 	for range 2 {
 		if err := s.Put(ctx, open(key), block(key, 0, 3), seal(key, 3)); err != nil {
 			t.Fatal(err)
 		}
-		s.Put(ctx, open(other)) // keeps an old entry, and with it the drop, in a segment of its own
-		if s.Held(other) != nil {
-			s.Drop(ctx, "surplus", key)
-		}
+		s.Drop(ctx, "surplus", key)
 	}
 	if err := s.Put(ctx, open(key), block(key, 0, 3), seal(key, 3)); err != nil {
 		t.Fatal(err)
 	}
-	for i := range uint64(20) {
-		s.Put(ctx, block(other, 4*i, 4*i+4))
-	}
-	s.Flush()
-	clock = clock.Add(time.Hour)
-	if worked, err := s.Compact(ctx, free); err != nil || !worked {
-		t.Fatal(worked, err)
-	}
+	compact(80)
 	s.Close()
 	os.Remove(filepath.Join(dir, indexName))
 	s = openTest(t, dir, nil, &clock)
--- a/internal/outputs/disk/read.go
+++ b/internal/outputs/disk/read.go
@@ -49,7 +49,7 @@
 	}
 	return &pb.Held{Key: key, Spans: st.Spans, Complete: complete(st), Print: print(key, st), Summary: &pb.Summary{
 		Attempt: a, Meta: st.Meta, Sealed: st.Sealed, EndedNs: st.EndedNs, Exit: st.Exit, Signal: st.Signal, Cause: st.Cause,
-		Records: n, Tally: st.Tally, Artefacts: st.Artefacts, Refused: st.Refused, Thin: len(st.Thin) > 0}}
+		Records: n, Tally: st.Tally, Artefacts: st.Artefacts, Refused: st.Refused, Thin: len(st.Thin) > 0, ReceivedNs: cmp.Or(st.ReceivedNs, st.TouchedNs)}}
 }
 
 // complete tells whether everything of a sealed attempt is held.
@@ -220,12 +220,13 @@
 
 // Blocks reads the blocks of an attempt that hold records from one on and before
 // another (0: no bound), in order, until they come to so many bytes. What is held
-// of the first and last beyond the bounds comes with them. It returns from where
-// to go on, and nothing if nothing is held from there on.
-func (s *Store) Blocks(key []byte, from, to uint64, most int) (blocks []*pb.Block, next uint64, err error) {
+// of the first and last beyond the bounds comes with them. Blocks that are as a
+// whole older than a time (0: none) are left out. It returns from where to go on,
+// and nothing if nothing is held from there on.
+func (s *Store) Blocks(key []byte, from, to uint64, since int64, most int) (blocks []*pb.Block, next uint64, err error) {
 	size, next := 0, from
 	for try := 0; try < 4 && size < most; try++ {
-		refs, err := s.refs(key, next, to, most-size)
+		refs, err := s.refs(key, next, to, since, most-size)
 		if err != nil {
 			return blocks, next, err
 		}
@@ -262,7 +263,7 @@
 }
 
 // refs finds the blocks that Blocks reads.
-func (s *Store) refs(key []byte, from, to uint64, most int) ([]blockRef, error) {
+func (s *Store) refs(key []byte, from, to uint64, since int64, most int) ([]blockRef, error) {
 	s.mu.Lock()
 	a := s.load(string(key))
 	if a == nil || a.dropped != "" {
@@ -279,6 +280,9 @@
 		if end <= from || to > 0 && first >= to {
 			return end <= from
 		}
+		if p.Tally.GetLastNs() < since {
+			return true
+		}
 		// What was found damaged is not in the spans.
 		if spans.Until(first) >= end {
 			list = append(list, blockRef{first, p})
@@ -369,7 +373,7 @@
 }
 
 // Scan lists attempts whose key begins with a prefix, after a key (nil: from the
-// first), by key.
+// first), by key. keep must not ask the store for anything.
 func (s *Store) Scan(prefix, after []byte, which pb.Which, limit int, keep func(*pb.Attempt) bool) (list []*pb.Held, more bool) {
 	s.each(prefix, after, which, func(key []byte, st *pb.AttemptState) bool {
 		h := held(key, st)
@@ -387,9 +391,14 @@
 }
 
 // Each calls f with every attempt held and what sums it up, by key, until f says
-// no.
+// no. f must not ask the store for anything.
 func (s *Store) Each(f func(key []byte, print uint64, st *pb.AttemptState) bool) {
-	s.each(nil, nil, pb.Which_WHICH_ALL, func(key []byte, st *pb.AttemptState) bool { return f(key, print(key, st), st) })
+	s.EachAfter(nil, f)
+}
+
+// EachAfter is Each from after a key on; nil: from the first.
+func (s *Store) EachAfter(after []byte, f func(key []byte, print uint64, st *pb.AttemptState) bool) {
+	s.each(nil, after, pb.Which_WHICH_ALL, func(key []byte, st *pb.AttemptState) bool { return f(key, print(key, st), st) })
 }
 
 func wanted(which pb.Which, st *pb.AttemptState) bool {
--- a/internal/outputs/disk/recover.go
+++ b/internal/outputs/disk/recover.go
@@ -203,7 +203,7 @@
 	}
 	for _, d := range bad {
 		s.damaged++
-		slog.Error("damaged part of a segment passed over", "segment", g.name, "from", d.from, "to", d.to)
+		slog.Error("damaged part of a segment passed over", "segment", g.name, "from", d.From, "to", d.To)
 	}
 	if !g.compacted {
 		s.at.Segment, s.at.Offset = id, uint64(end)
--- a/internal/outputs/disk/store.go
+++ b/internal/outputs/disk/store.go
@@ -423,3 +423,12 @@
 		a.st.Thin, a.dirty = nil, true
 	}
 }
+
+// Thin tells whether fewer members hold an attempt than should, as far as was
+// noted here.
+func (s *Store) Thin(key []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.load(string(key))
+	return a != nil && len(a.st.Thin) > 0
+}
--- a/internal/outputs/outputsv1/outputsv1connect/outputs.connect.go
+++ b/internal/outputs/outputsv1/outputsv1connect/outputs.connect.go
@@ -467,7 +467,7 @@
 	HasChunks(context.Context, *connect.Request[outputsv1.HasChunksRequest]) (*connect.Response[outputsv1.HasChunksResponse], error)
 	// Digests sums up, in buckets, what this member holds that another should.
 	Digests(context.Context, *connect.Request[outputsv1.DigestsRequest]) (*connect.Response[outputsv1.DigestsResponse], error)
-	// Bucket lists what stands in one bucket.
+	// Bucket lists what stands in some buckets.
 	Bucket(context.Context, *connect.Request[outputsv1.BucketRequest]) (*connect.Response[outputsv1.BucketResponse], error)
 	// Confirm asks an owner whether it holds attempts in whole, and to keep them.
 	Confirm(context.Context, *connect.Request[outputsv1.ConfirmRequest]) (*connect.Response[outputsv1.ConfirmResponse], error)
@@ -643,7 +643,7 @@
 	HasChunks(context.Context, *connect.Request[outputsv1.HasChunksRequest]) (*connect.Response[outputsv1.HasChunksResponse], error)
 	// Digests sums up, in buckets, what this member holds that another should.
 	Digests(context.Context, *connect.Request[outputsv1.DigestsRequest]) (*connect.Response[outputsv1.DigestsResponse], error)
-	// Bucket lists what stands in one bucket.
+	// Bucket lists what stands in some buckets.
 	Bucket(context.Context, *connect.Request[outputsv1.BucketRequest]) (*connect.Response[outputsv1.BucketResponse], error)
 	// Confirm asks an owner whether it holds attempts in whole, and to keep them.
 	Confirm(context.Context, *connect.Request[outputsv1.ConfirmRequest]) (*connect.Response[outputsv1.ConfirmResponse], error)
