--- a/cmd/outputs/main.go
+++ b/cmd/outputs/main.go
@@ -1,5 +1,6 @@
 // Command outputs runs a store of task outputs, which keeps what the captures on
-// the workers ship. Several of them make one: see docs/outputs-operations.md.
+// the workers ship, and reads them: `reedtrack logs`, `artefacts` and `fetch` are
+// its commands. Several stores make one: see docs/outputs-operations.md.
 package main
 
 import (
@@ -10,13 +11,16 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/alecthomas/kong"
 
 	"reedtrack/internal/config"
 	"reedtrack/internal/outputs/access"
+	"reedtrack/internal/outputs/client"
 	"reedtrack/internal/outputs/daemon"
 	"reedtrack/internal/outputs/disk"
 )
@@ -26,6 +30,10 @@
 	Check  checkCmd  `cmd:"" help:"Check settings and print what follows from them."`
 	Token  tokenCmd  `cmd:"" help:"Make a token, and what the settings keep of it."`
 	Verify verifyCmd `cmd:"" help:"Read everything that a stopped store keeps, and say what is damaged."`
+
+	Logs      logsCmd      `cmd:"" help:"Show what a task has written, or list the attempts of a job."`
+	Artefacts artefactsCmd `cmd:"" help:"List the files that tasks have left."`
+	Fetch     fetchCmd     `cmd:"" help:"Fetch a file that a task has left."`
 }
 
 type settingsFlags struct {
@@ -174,7 +182,7 @@
 	}
 	defer s.Close()
 	done, last := 0, time.Now()
-	read, bad, err := s.Scrub(context.Background(), func(_ context.Context, n int) error {
+	found, err := s.Scrub(context.Background(), func(_ context.Context, n int) error {
 		if done += n; time.Since(last) > 2*time.Second {
 			last = time.Now()
 			fmt.Fprintf(os.Stderr, "%d MB read\n", done>>20)
@@ -185,29 +193,43 @@
 		return err
 	}
 	st := s.Stats()
-	out, _ := json.Marshal(map[string]any{"attempts": st.Attempts, "entries": read, "damaged": bad, "segments": st.Segments, "bytes": st.DiskBytes})
+	out, _ := json.Marshal(map[string]any{"attempts": st.Attempts, "entries": found.Read, "damaged": found.Bad, "not_as_sealed": len(found.Wrong), "segments": st.Segments, "bytes": st.DiskBytes})
 	fmt.Println(string(out))
-	if bad > 0 {
-		return fmt.Errorf("%d entries are damaged; the store copies them again from another when it runs", bad)
+	if bad := found.Bad + len(found.Wrong); bad > 0 {
+		return fmt.Errorf("%d entries or attempts are damaged; the store copies them again from another when it runs", bad)
 	}
 	return nil
 }
 
 func main() {
 	var c cli
-	parser := kong.Must(&c, kong.Name("outputs"), kong.Description("A store of task outputs. Exit status: 0 done, 1 failed, 2 bad arguments or settings."))
+	name := filepath.Base(os.Args[0]) // reedtrack, when that has called
+	parser := kong.Must(&c, kong.Name(name), kong.Description("A store of task outputs, and its reader. Exit status: 0 done, 1 failed or not all to be had, 2 bad arguments or settings, 3 no store answered."))
 	ctx, err := parser.Parse(os.Args[1:])
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "outputs:", err)
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		os.Exit(2)
 	}
 	if err = ctx.Run(); err == nil {
 		return
 	}
-	fmt.Fprintln(os.Stderr, "outputs:", err)
+	fmt.Fprintf(os.Stderr, "%s: %v\n", name, explained(err))
 	var fe *config.FieldError
-	if errors.As(err, &fe) {
+	var usage errUsage
+	switch {
+	case errors.As(err, &fe), errors.As(err, &usage):
 		os.Exit(2)
+	case errors.Is(err, client.ErrGaveUp):
+		os.Exit(3)
 	}
 	os.Exit(1)
 }
+
+// explained leaves out of a store's answer what only programs need.
+func explained(err error) error {
+	var ce *connect.Error
+	if errors.As(err, &ce) && !errors.Is(err, client.ErrGaveUp) {
+		return errors.New(ce.Message())
+	}
+	return err
+}
--- a/cmd/reedtrack/main.go
+++ b/cmd/reedtrack/main.go
@@ -21,12 +21,15 @@
 )
 
 type cli struct {
-	Daemon   daemonCmd   `cmd:"" default:"withargs" help:"Run a controller (the default)."`
-	Check    checkCmd    `cmd:"" help:"Check settings and print what follows from them."`
-	Submit   submitCmd   `cmd:"" help:"Submit a job."`
-	Status   statusCmd   `cmd:"" help:"Tell a job's status."`
-	Withdraw withdrawCmd `cmd:"" help:"Cancel a job."`
-	Version  versionCmd  `cmd:"" help:"Print the version."`
+	Daemon    daemonCmd   `cmd:"" default:"withargs" help:"Run a controller (the default)."`
+	Check     checkCmd    `cmd:"" help:"Check settings and print what follows from them."`
+	Submit    submitCmd   `cmd:"" help:"Submit a job."`
+	Status    statusCmd   `cmd:"" help:"Tell a job's status."`
+	Withdraw  withdrawCmd `cmd:"" help:"Cancel a job."`
+	Logs      outputsCmd  `cmd:"" passthrough:"" help:"Show what a task has written, or list the attempts of a job."`
+	Artefacts outputsCmd  `cmd:"" passthrough:"" help:"List the files that tasks have left."`
+	Fetch     outputsCmd  `cmd:"" passthrough:"" help:"Fetch a file that a task has left."`
+	Version   versionCmd  `cmd:"" help:"Print the version."`
 }
 
 type settingsFlags struct {
--- a/internal/outputs/block.go
+++ b/internal/outputs/block.go
@@ -221,3 +221,6 @@
 	d := NewDigest()
 	return d, d.h.(encoding.BinaryUnmarshaler).UnmarshalBinary(state)
 }
+
+// Unsure tells whether a seal's digest says nothing: the writer had lost count.
+func Unsure(digest []byte) bool { return bytes.Equal(digest, make([]byte, sha256.Size)) }
--- a/internal/outputs/client/dial.go
+++ b/internal/outputs/client/dial.go
@@ -28,6 +28,10 @@
 	options []connect.ClientOption
 	budget  *rate.Limiter
 
+	// Trouble, if set, is told once when nothing answers for a while.
+	Trouble func(err error)
+	told    sync.Once
+
 	mu    sync.Mutex
 	addrs []string
 	at    int
@@ -130,7 +134,7 @@
 // Do calls f with the address of one store after the other until it has a final
 // answer or the context ends.
 func (s *Stores) Do(ctx context.Context, f func(ctx context.Context, addr string) error) error {
-	wait := time.Duration(0)
+	wait, begun := time.Duration(0), time.Now()
 	for try := 0; ; try++ {
 		err := f(ctx, s.current())
 		if err == nil || Final(err) {
@@ -139,6 +143,9 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("%w: %v", ErrGaveUp, err)
 		}
+		if s.Trouble != nil && time.Since(begun) > time.Second {
+			s.told.Do(func() { s.Trouble(err) })
+		}
 		// A limit holds at every store; anything else may be better at the next.
 		if connect.CodeOf(err) != connect.CodeResourceExhausted {
 			s.next()
--- a/internal/outputs/cluster/gather.go
+++ b/internal/outputs/cluster/gather.go
@@ -27,7 +27,7 @@
 			var err error
 			if n.self(m) {
 				err = f(ctx, m, nil)
-			} else if !n.health.well(m.Name) {
+			} else if !n.health.well(m) {
 				err = ErrAway
 			} else {
 				err = n.call(ctx, m, func(ctx context.Context, p Peer) error { return f(ctx, m, p) })
@@ -289,7 +289,7 @@
 	if n.self(m) {
 		return n.store.Chunk(team, hash)
 	}
-	if !n.health.well(m.Name) {
+	if !n.health.well(m) {
 		return nil, connect.NewError(connect.CodeUnavailable, ErrAway)
 	}
 	err = n.call(ctx, m, func(ctx context.Context, p Peer) error {
--- a/internal/outputs/cluster/health.go
+++ b/internal/outputs/cluster/health.go
@@ -12,7 +12,7 @@
 // next member.
 type health struct {
 	mu   sync.Mutex
-	away map[string]*absence
+	away map[string]*absence // by address: who comes back at another is not held to the past
 }
 
 type absence struct {
@@ -22,7 +22,7 @@
 
 const (
 	leastAway = 500 * time.Millisecond
-	mostAway  = 10 * time.Second
+	mostAway  = 5 * time.Second
 )
 
 // silent tells whether an error says that the peer did not answer, rather than
@@ -35,17 +35,17 @@
 	return false
 }
 
-func (h *health) note(name string, err error) {
+func (h *health) note(m Member, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !silent(err) {
-		delete(h.away, name)
+		delete(h.away, m.Address)
 		return
 	}
-	a := h.away[name]
+	a := h.away[m.Address]
 	if a == nil {
 		a = new(absence)
-		h.away[name] = a
+		h.away[m.Address] = a
 	}
 	now := time.Now()
 	if now.Before(a.until) {
@@ -56,9 +56,9 @@
 }
 
 // well tells whether a peer is worth asking now.
-func (h *health) well(name string) bool {
+func (h *health) well(m Member) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a := h.away[name]
+	a := h.away[m.Address]
 	return a == nil || time.Now().After(a.until)
 }
--- a/internal/outputs/cluster/node.go
+++ b/internal/outputs/cluster/node.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel"
 	"golang.org/x/time/rate"
 
+	"reedtrack/internal/outputs"
 	"reedtrack/internal/outputs/disk"
 	"reedtrack/internal/outputs/outputsv1/outputsv1connect"
 )
@@ -44,6 +46,8 @@
 	started time.Time
 	repairs *rate.Limiter
 
+	repairMu sync.Mutex // one round at a time
+
 	peerMu sync.Mutex
 	peers  map[string]dialed
 
@@ -113,7 +117,7 @@
 	defer cancel()
 	err := f(within, n.peer(m))
 	if ctx.Err() == nil || err == nil { // not the caller's own end
-		n.health.note(m.Name, err)
+		n.health.note(m, err)
 	}
 	return err
 }
@@ -144,17 +148,31 @@
 // scrubLoop reads everything once in a while, to find what is damaged before the
 // other copy is too.
 func (n *Node) scrubLoop(ctx context.Context) {
-	work := rate.NewLimiter(rate.Limit(n.opt.ScrubBytes), max(n.opt.ScrubBytes, 1<<20))
 	for sleep(ctx, n.opt.ScrubEvery) {
-		read, bad, err := n.store.Scrub(ctx, paced(work))
-		if err != nil && ctx.Err() == nil {
+		if err := n.Scrub(ctx); err != nil && ctx.Err() == nil {
 			slog.Warn("scrubbing stopped", "err", err)
-			continue
 		}
-		slog.Info("scrubbed", "entries", read, "damaged", bad)
 	}
 }
 
+// Scrub reads everything once. What is damaged is copied again by repair; so is an
+// attempt that is not what was sealed, if another member has a whole copy.
+func (n *Node) Scrub(ctx context.Context) error {
+	work := rate.NewLimiter(rate.Limit(n.opt.ScrubBytes), max(n.opt.ScrubBytes, 1<<20))
+	found, err := n.store.Scrub(ctx, paced(work))
+	for _, key := range found.Wrong {
+		list, _ := n.copies(ctx, key, true)
+		other := slices.ContainsFunc(list, func(c copyOf) bool { return !n.self(c.member) && c.held.Complete })
+		a, _ := outputs.ParseKey(key)
+		slog.Error("an attempt is not what was sealed", "attempt", outputs.Name(a), "copied_again", other)
+		if other {
+			err = errors.Join(err, n.store.Distrust(key))
+		}
+	}
+	slog.Info("scrubbed", "entries", found.Read, "damaged", found.Bad, "wrong", len(found.Wrong))
+	return err
+}
+
 // paced waits for a limiter, by pieces that it can give at once.
 func paced(l *rate.Limiter) func(ctx context.Context, bytes int) error {
 	return func(ctx context.Context, bytes int) error {
--- a/internal/outputs/cluster/read.go
+++ b/internal/outputs/cluster/read.go
@@ -114,8 +114,10 @@
 				return err
 			}
 			continue
-		case !sealed && !more && !r.q.Follow:
-			return r.send(&pb.ReadResponse{Next: r.next})
+		case !sealed && !more && !r.q.Follow && (len(away) < r.n.opt.Copies || time.Since(stuck) > patience):
+			// What was acknowledged is held by as many as should, and one of them
+			// has answered; or it was noted that fewer hold it, and they are named.
+			return r.send(&pb.ReadResponse{Next: r.next, Unreachable: away})
 		}
 		if !sleep(ctx, 200*time.Millisecond) {
 			return ctx.Err()
@@ -198,7 +200,7 @@
 	idle := 0
 	st, err := r.n.peer(c.member).Blocks(ctx, connect.NewRequest(&pb.BlocksRequest{Key: r.key, From: r.next, Follow: follow, SinceNs: r.q.SinceNs}))
 	if err != nil {
-		r.n.health.note(c.member.Name, err)
+		r.n.health.note(c.member, err)
 		return err
 	}
 	defer st.Close()
@@ -222,7 +224,7 @@
 		}
 	}
 	if err := st.Err(); err != nil {
-		r.n.health.note(c.member.Name, err)
+		r.n.health.note(c.member, err)
 		return err
 	}
 	return nil
--- a/internal/outputs/cluster/repair.go
+++ b/internal/outputs/cluster/repair.go
@@ -42,20 +42,21 @@
 // sums is what this member holds that others should, by their names.
 type sums struct {
 	at      time.Time
+	took    time.Duration
 	version uint64
 	buckets map[string][]uint64
 	surplus map[string]uint64
 }
 
-// sumsFor sums up what this member holds, for all others in one pass. The answer
-// may be some seconds old: a difference that it does not show is found in the next
-// round.
+// sumsFor sums up what this member holds, for all others in one pass. It takes a
+// tenth of the time at most: the answer may be as old as that, and a difference
+// that it does not show is found in the next round.
 func (n *Node) sumsFor(v *View, copies int) *sums {
 	name := fmt.Sprint(copies, v.Members)
 	version := n.store.Version()
 	n.sumMu.Lock()
 	defer n.sumMu.Unlock()
-	if s := n.sums[name]; s != nil && (s.version == version || time.Since(s.at) < n.opt.RepairEvery/4) {
+	if s := n.sums[name]; s != nil && (s.version == version || time.Since(s.at) < 10*s.took) {
 		return s
 	}
 	s := &sums{at: time.Now(), version: version, buckets: map[string][]uint64{}, surplus: map[string]uint64{}}
@@ -84,6 +85,7 @@
 			delete(n.sums, k)
 		}
 	}
+	s.took = time.Since(s.at)
 	n.sums[name] = s
 	return s
 }
@@ -176,9 +178,11 @@
 // Repair does one round over all peers and returns how many attempts it copied
 // something of.
 func (n *Node) Repair(ctx context.Context, v *View) int {
+	n.repairMu.Lock()
+	defer n.repairMu.Unlock()
 	total, lacking := 0, 0
 	for _, m := range v.Members {
-		if n.self(m) || !n.health.well(m.Name) || ctx.Err() != nil {
+		if n.self(m) || !n.health.well(m) || ctx.Err() != nil {
 			continue
 		}
 		done, seen, err := n.repairFrom(ctx, v, m)
@@ -338,7 +342,7 @@
 	defer cancel()
 	st, err := n.peer(m).Blocks(ctx, connect.NewRequest(&pb.BlocksRequest{Key: key, From: gap.From, To: gap.To}))
 	if err != nil {
-		n.health.note(m.Name, err)
+		n.health.note(m, err)
 		return err
 	}
 	defer st.Close()
@@ -364,7 +368,7 @@
 		alive.Reset(n.opt.CallTimeout)
 	}
 	if err := st.Err(); err != nil {
-		n.health.note(m.Name, err)
+		n.health.note(m, err)
 		return err
 	}
 	return nil
@@ -443,7 +447,7 @@
 		}
 		return held
 	}
-	if !n.health.well(m.Name) {
+	if !n.health.well(m) {
 		return nil
 	}
 	n.call(ctx, m, func(ctx context.Context, p Peer) error {
--- a/internal/outputs/cluster/write.go
+++ b/internal/outputs/cluster/write.go
@@ -65,7 +65,7 @@
 		if n.self(m) {
 			lacks = n.store.MissingChunks(a.Team, hashes)
 		} else {
-			if !n.health.well(m.Name) {
+			if !n.health.well(m) {
 				continue
 			}
 			err := n.call(ctx, m, func(ctx context.Context, p Peer) error {
@@ -112,7 +112,7 @@
 	v := n.members.View()
 	var order, later []Member
 	for _, i := range v.Rank(outputs.Route(key)) {
-		if m := v.Members[i]; n.self(m) || n.health.well(m.Name) {
+		if m := v.Members[i]; n.self(m) || n.health.well(m) {
 			order = append(order, m)
 		} else {
 			later = append(later, m)
--- a/internal/outputs/daemon/daemon.go
+++ b/internal/outputs/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -44,8 +45,9 @@
 	Bounds    serve.Bounds
 	FS        disk.FS // nil: the system's
 
-	// For tests, which can't wait: zero values are those of earnest.
+	// For tests, which can't wait and cut links: zero values are those of earnest.
 	Housekeeping, PinFor, CallTimeout, Settle time.Duration
+	Carry                                     http.RoundTripper // of requests between stores
 }
 
 // Daemon is a running store.
@@ -138,6 +140,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.Carry != nil {
+		calls = &http.Client{Transport: c.Carry}
+	}
 	members := &cluster.Membership{Self: cluster.Member{Name: c.Name, Zone: c.Zone, ID: id}, State: c.State, Life: o.Lease, Rest: c.StateRest,
 		File: filepath.Join(c.Dir, "members.json")}
 	d.Node = cluster.New(d.store, members, cluster.Options{
@@ -205,6 +210,15 @@
 	return err
 }
 
+// kill lets go of everything as a process that is killed does: the index is not
+// written, requests are cut off.
+func (d *Daemon) kill() {
+	d.stop()
+	d.server.Kill()
+	d.store.Kill()
+	d.wg.Wait()
+}
+
 // storeID is the name of a directory's content: a store that comes back with an
 // empty disk is another one.
 func storeID(dir string) (string, error) {
--- a/internal/outputs/disk/compact.go
+++ b/internal/outputs/disk/compact.go
@@ -207,7 +207,7 @@
 		if len(bad) > 0 {
 			// What the index points to in there must be known to be lost before
 			// the segment goes.
-			if _, n, err := c.s.scrub(c.ctx, c.limit, g.id); err != nil || n > 0 {
+			if found, err := c.s.scrub(c.ctx, c.limit, g.id); err != nil || found.Bad > 0 {
 				return nil, cmp.Or(err, c.s.Flush(), errMoved)
 			}
 		}
@@ -585,96 +585,3 @@
 	}
 	return s.flush()
 }
-
-// Scrub reads everything that the index points to once, and notes what is damaged
-// as not held. It returns how many entries it read and how many were damaged.
-func (s *Store) Scrub(ctx context.Context, limit func(ctx context.Context, bytes int) error) (read, bad int, err error) {
-	return s.scrub(ctx, limit, 0)
-}
-
-// scrub is Scrub for one segment, or all (0).
-func (s *Store) scrub(ctx context.Context, limit func(ctx context.Context, bytes int) error, only uint32) (read, bad int, err error) {
-	type at struct {
-		key  []byte
-		id   uint64
-		refs []blockRef
-	}
-	var after []byte
-	for {
-		var a *at
-		s.db.View(func(tx *bbolt.Tx) error {
-			cur := tx.Bucket(bAttempts).Cursor()
-			k, v := cur.First()
-			if after != nil {
-				if k, v = cur.Seek(after); k != nil && bytes.Equal(k, after) {
-					k, v = cur.Next()
-				}
-			}
-			if k == nil {
-				return nil
-			}
-			st := new(pb.AttemptState)
-			if proto.Unmarshal(v, st) != nil {
-				return nil
-			}
-			a = &at{key: bytes.Clone(k), id: st.Id}
-			bc, prefix := tx.Bucket(bBlocks).Cursor(), be64(st.Id)
-			for bk, bv := bc.Seek(prefix); bk != nil && bytes.HasPrefix(bk, prefix); bk, bv = bc.Next() {
-				if p := new(pb.Place); proto.Unmarshal(bv, p) == nil && (only == 0 || p.Segment == only) {
-					a.refs = append(a.refs, blockRef{firstOf(bk), p})
-				}
-			}
-			return nil
-		})
-		if a == nil {
-			break
-		}
-		after = a.key
-		for _, r := range a.refs {
-			if err := limit(ctx, int(r.place.Length)); err != nil {
-				return read, bad, err
-			}
-			_, err := s.read(r.place)
-			if errors.Is(err, ErrDamaged) {
-				s.blockDamaged(a.key, r)
-				bad++
-			} else if err != nil && !errors.Is(err, ErrNone) {
-				return read, bad, err
-			}
-			read++
-		}
-	}
-	var k []byte
-	for {
-		p := new(pb.Place)
-		s.db.View(func(tx *bbolt.Tx) error {
-			cur := tx.Bucket(bChunks).Cursor()
-			next, v := cur.First()
-			if k != nil {
-				if next, v = cur.Seek(k); next != nil && bytes.Equal(next, k) {
-					next, v = cur.Next()
-				}
-			}
-			k = bytes.Clone(next)
-			proto.Unmarshal(v, p)
-			return nil
-		})
-		if k == nil {
-			return read, bad, nil
-		}
-		if only != 0 && p.Segment != only {
-			continue
-		}
-		if err := limit(ctx, int(p.Length)); err != nil {
-			return read, bad, err
-		}
-		_, err := s.read(p)
-		if errors.Is(err, ErrDamaged) {
-			s.chunkDamaged(string(k), p)
-			bad++
-		} else if err != nil && !errors.Is(err, ErrNone) {
-			return read, bad, err
-		}
-		read++
-	}
-}
--- a/internal/outputs/disk/model_test.go
+++ b/internal/outputs/disk/model_test.go
@@ -309,12 +309,7 @@
 			fs.mu.Lock()
 			fs.dead = true
 			fs.mu.Unlock()
-			s.mu.Lock()
-			s.closed = true
-			s.mu.Unlock()
-			close(s.done)
-			s.wg.Wait()
-			s.db.Close()
+			s.Kill()
 			fs.tear()
 			if dropped != "" { // may be gone or not: no longer in the model
 				delete(m.attempts, dropped)
@@ -399,7 +394,7 @@
 	if blocks, next, err := s.Blocks(key, 0, 0, 0, 1<<20); err != nil || next != 6 || len(blocks) != 2 {
 		t.Fatalf("reads while full: %d blocks up to %d, %v", len(blocks), next, err)
 	}
-	s.abandonForTest()
+	s.Kill()
 	fs.tear()
 	// Records 6 and 7 of the write that failed stand in a segment: they don't
 	// count, since the one after it has begun with their number.
@@ -422,15 +417,6 @@
 	}
 }
 
-func (s *Store) abandonForTest() {
-	s.mu.Lock()
-	s.closed = true
-	s.mu.Unlock()
-	close(s.done)
-	s.wg.Wait()
-	s.db.Close()
-}
-
 // A bit that flips on disk is found by a reader, by the scrubber and by
 // compaction, and from then on what it stood for counts as not held. Nothing else
 // is lost with it, and it can be put again.
@@ -461,8 +447,8 @@
 		switch by {
 		case "scrubber":
 			s.Flush()
-			if _, bad, err := s.Scrub(ctx, free); bad != 1 || err != nil {
-				t.Fatalf("scrub: %d bad, %v", bad, err)
+			if found, err := s.Scrub(ctx, free); found.Bad != 1 || err != nil {
+				t.Fatalf("scrub: %+v, %v", found, err)
 			}
 		case "compaction":
 			s.Flush()
--- a/internal/outputs/disk/store.go
+++ b/internal/outputs/disk/store.go
@@ -166,6 +166,18 @@
 	return err
 }
 
+// Kill ends as a process does that is killed: the index is not written. For tests.
+func (s *Store) Kill() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	close(s.done)
+	s.wg.Wait()
+	s.ixmu.Lock()
+	defer s.ixmu.Unlock()
+	s.abandon()
+}
+
 // abandon lets go of all files.
 func (s *Store) abandon() {
 	s.db.Close()
--- a/internal/outputs/serve/server.go
+++ b/internal/outputs/serve/server.go
@@ -103,6 +103,9 @@
 	return nil
 }
 
+// Kill cuts off what is under way.
+func (s *Server) Kill() { s.http.Close() }
+
 // counting counts and times requests.
 type counting struct{}
 
