Test capture and its programs: crashes, kills, stores away, files, statuses

Found: Go's runtime turns some signals into a status of its own, so a capture could not end by them; it now puts another program in its place.

--- a/cmd/capture/main.go
+++ b/cmd/capture/main.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -97,15 +96,19 @@
 	}
 	stop()
 	if st.Signal != 0 {
-		// End as the command did, but without a second core.
-		unix.Setrlimit(unix.RLIMIT_CORE, &unix.Rlimit{})
-		signal.Reset(st.Signal)
-		syscall.Kill(os.Getpid(), st.Signal)
-		time.Sleep(time.Second)
+		endAs(st.Signal)
 	}
 	os.Exit(st.Exit)
 }
 
+// endAs ends this process by the signal that ended the command, without a second
+// core. Go's runtime answers some of them itself, so another program is put in its
+// place, to which they are new.
+func endAs(sig syscall.Signal) {
+	unix.Setrlimit(unix.RLIMIT_CORE, &unix.Rlimit{})
+	syscall.Exec("/bin/sh", []string{"sh", "-c", fmt.Sprintf("kill -%d $$", int(sig))}, nil)
+}
+
 func usage(err error) {
 	fmt.Fprintln(os.Stderr, "capture:", err)
 	os.Exit(2)
--- /dev/null
+++ b/internal/outputs/spool/spool_test.go
@@ -0,0 +1,242 @@
+package spool
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "reedtrack/internal/outputs/outputsv1"
+)
+
+func line(i int) *pb.Record {
+	return &pb.Record{AtNs: int64(i + 1), Stream: pb.Stream_STREAM_STDOUT, Data: fmt.Appendf(nil, "line %06d\n", i)}
+}
+
+// all reads everything from a number on.
+func all(t *testing.T, s *Spool, from uint64) []*pb.Record {
+	t.Helper()
+	var out []*pb.Record
+	for {
+		list, err := s.Read(from, 300)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(list) == 0 {
+			return out
+		}
+		for _, r := range list {
+			if r.Seq != from {
+				t.Fatalf("record %d where %d comes next", r.Seq, from)
+			}
+			from++
+		}
+		out = append(out, list...)
+	}
+}
+
+// account checks that lines, and gaps that say how many are missing, make up 0 to
+// n in order, and returns how many lines there are.
+func account(t *testing.T, list []*pb.Record, n int) int {
+	t.Helper()
+	next, lines := 0, 0
+	for _, r := range list {
+		if r.Stream == pb.Stream_STREAM_GAP {
+			var g pb.Gap
+			if err := proto.Unmarshal(r.Data, &g); err != nil {
+				t.Fatal(err)
+			}
+			if g.StdoutBytes != 12*g.StdoutLines {
+				t.Fatalf("a gap of %d bytes and %d lines", g.StdoutBytes, g.StdoutLines)
+			}
+			next += int(g.StdoutLines)
+			continue
+		}
+		if want := line(next); !bytes.Equal(r.Data, want.Data) {
+			t.Fatalf("%q where %q comes next", r.Data, want.Data)
+		}
+		next++
+		lines++
+	}
+	if next != n {
+		t.Fatalf("lines and gaps make up %d of %d", next, n)
+	}
+	return lines
+}
+
+// Whatever is added, spilled, joined and acknowledged, and wherever the capture is
+// killed: each line comes once and in order, or a gap counts it.
+func TestEveryLineIsAccountedFor(t *testing.T) {
+	for seed := range uint64(150) {
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		dir := filepath.Join(t.TempDir(), "s")
+		s, err := Open(dir, 6000, 600)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []*pb.Record
+		n, acked := 0, uint64(0)
+		for range 300 {
+			switch k := rnd.IntN(20); {
+			case k < 13:
+				spilling, _ := s.Spilling()
+				if !spilling && rnd.IntN(30) > 0 {
+					err = s.Add(line(n))
+				} else {
+					err = s.Spill(line(n), "spool")
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				n++
+			case k < 14 && rnd.IntN(8) == 0:
+				if err := s.Join(); err != nil {
+					t.Fatal(err)
+				}
+			case k < 16:
+				list, err := s.Read(acked, 100)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got = append(got, list...)
+				acked += uint64(len(list))
+				if err := s.Ack(acked); err != nil {
+					t.Fatal(err)
+				}
+			case k < 17 && rnd.IntN(6) == 0: // killed; the next one goes on
+				s.Close()
+				if s, err = Open(dir, 6000, 600); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		s.Join()
+		got = append(got, all(t, s, acked)...)
+		account(t, got, n)
+		s.Close()
+	}
+}
+
+// A capture killed in the middle of a write leaves a torn record: what stands
+// before it is there, nothing else. So is what follows a damaged one, with a gap.
+func TestTornAndDamaged(t *testing.T) {
+	for cut := range 40 {
+		dir := filepath.Join(t.TempDir(), "s")
+		s, err := Open(dir, 1<<20, 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 10 {
+			s.Add(line(i))
+		}
+		s.Close()
+		files, _ := filepath.Glob(filepath.Join(dir, "q-*"))
+		st, _ := os.Stat(files[0])
+		os.Truncate(files[0], st.Size()-int64(cut))
+		if s, err = Open(dir, 1<<20, 1000); err != nil {
+			t.Fatal(err)
+		}
+		each := int(st.Size() / 10)
+		if got := len(all(t, s, 0)); got != 10-(cut+each-1)/each {
+			t.Fatalf("cut %d bytes: %d records", cut, got)
+		}
+		if err := s.Add(line(99)); err != nil {
+			t.Fatal(err)
+		}
+		list := all(t, s, 0)
+		if !bytes.Equal(list[len(list)-1].Data, line(99).Data) {
+			t.Fatal("what came after is not there")
+		}
+		s.Close()
+	}
+	dir := filepath.Join(t.TempDir(), "s")
+	s, _ := Open(dir, 40000, 1000)
+	for i := range 900 {
+		if err := s.Add(line(i)); err != nil {
+			break
+		}
+	}
+	s.Close()
+	files, _ := filepath.Glob(filepath.Join(dir, "q-*"))
+	raw, _ := os.ReadFile(files[0])
+	raw[len(raw)/2] ^= 1
+	os.WriteFile(files[0], raw, 0o600)
+	s, err := Open(dir, 40000, 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	gaps := 0
+	for _, r := range all(t, s, 0) {
+		if r.Stream == pb.Stream_STREAM_GAP {
+			gaps++
+		}
+	}
+	if gaps != 1 {
+		t.Errorf("%d gaps for one damaged record", gaps)
+	}
+}
+
+// Only one process has a spool; its bound holds on the disk.
+func TestBoundsOfSpool(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "s")
+	s, err := Open(dir, 200<<10, 20<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := Open(dir, 1<<20, 1000); !errors.Is(err, ErrInUse) {
+		t.Errorf("opened twice: %v", err)
+	}
+	long := &pb.Record{Stream: pb.Stream_STREAM_STDERR, Data: []byte(strings.Repeat("x", 5000))}
+	for range 500 {
+		if spilling, _ := s.Spilling(); spilling || s.Add(long) != nil {
+			if err := s.Spill(long, "spool"); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	size := int64(0)
+	entries, _ := os.ReadDir(dir)
+	for _, e := range entries {
+		st, _ := e.Info()
+		size += st.Size()
+	}
+	if size > 200<<10 {
+		t.Errorf("%d bytes on disk", size)
+	}
+}
+
+// A capture killed while a tail joins: half of it stands among the files already.
+func TestKilledWhileJoining(t *testing.T) {
+	for _, spilled := range []int{5, 60, 200} {
+		dir := filepath.Join(t.TempDir(), "s")
+		s, err := Open(dir, 100000, 1000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 10 {
+			s.Add(line(i))
+		}
+		for i := range spilled {
+			s.Spill(line(10+i), "rate")
+		}
+		elder := s.ring[0]
+		os.Rename(filepath.Join(dir, elder.name), filepath.Join(dir, fmt.Sprintf("q-%08d-%d-%s", s.number, s.next, kindGap)))
+		s.Close()
+		if s, err = Open(dir, 100000, 1000); err != nil {
+			t.Fatal(err)
+		}
+		lines := account(t, all(t, s, 0), 10+spilled)
+		if spilled > 100 && lines >= 100 {
+			t.Errorf("%d lines kept of %d", lines, spilled)
+		}
+		s.Close()
+	}
+}
