One command to try it all: reedtrack demo; the stand-in fleet runs commands

Trying the project took eight commands. reedtrack demo starts the stand-ins, three controllers and two stores as processes of their own, submits three jobs whose tasks run real commands through capture, says what to look at and what to kill, starts again what was killed and ends with Ctrl-C. The operators' page links to the outputs where <outputs><page> names them.

--- a/cmd/outputs/read.go
+++ b/cmd/outputs/read.go
@@ -334,8 +334,8 @@
 				last = time.Unix(0, a.Tally.LastNs).UTC().Format("2006-01-02 15:04:05Z")
 			}
 			t := a.Tally
-			fmt.Fprintf(w, "%d\t%d\t%s.%d\t%s\t%s\t%d\t%d\t%d\t%d\t%d\n", a.Attempt.Task, a.Attempt.Try, a.Attempt.Machine, a.Attempt.Stint, statusText(a), last,
-				t.GetStdoutLines()+t.GetStderrLines(), t.GetStdoutBytes()+t.GetStderrBytes(), t.GetMissingBytes(), a.Artefacts, a.Copies)
+			fmt.Fprintf(w, "%d\t%d\t%s.%d\t%s\t%s\t%d\t%d\t%d\t%d\t%s\n", a.Attempt.Task, a.Attempt.Try, a.Attempt.Machine, a.Attempt.Stint, statusText(a), last,
+				t.GetStdoutLines()+t.GetStderrLines(), t.GetStdoutBytes()+t.GetStderrBytes(), t.GetMissingBytes(), a.Artefacts, copiesText(a))
 		}
 		if q.After = page.Next; len(q.After) == 0 {
 			break
@@ -502,3 +502,14 @@
 	return progressbar.NewOptions64(size, progressbar.OptionSetWriter(w), progressbar.OptionSetDescription(what), progressbar.OptionShowBytes(true),
 		progressbar.OptionThrottle(200*time.Millisecond), progressbar.OptionClearOnFinish(), progressbar.OptionSetPredictTime(true))
 }
+
+// copiesText tells how many stores that answered hold all of an attempt.
+func copiesText(a *pb.Summary) string {
+	switch {
+	case !a.Sealed:
+		return "-"
+	case a.Thin:
+		return fmt.Sprintf("%d, too few", a.Copies)
+	}
+	return strconv.Itoa(int(a.Copies))
+}
--- a/cmd/reedtrack/main.go
+++ b/cmd/reedtrack/main.go
@@ -29,6 +29,7 @@
 	Logs      outputsCmd  `cmd:"" passthrough:"" help:"Show what a task has written, or list the attempts of a job."`
 	Artefacts outputsCmd  `cmd:"" passthrough:"" help:"List the files that tasks have left."`
 	Fetch     outputsCmd  `cmd:"" passthrough:"" help:"Fetch a file that a task has left."`
+	Demo      demoCmd     `cmd:"" help:"Try it all out on this machine: stand-ins, three controllers, two stores, some jobs."`
 	Version   versionCmd  `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -8,7 +8,9 @@
 	"log"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -17,7 +19,9 @@
 )
 
 var cli struct {
-	Dir string `arg:"" help:"Folder for the controllers' settings; made if need be."`
+	Dir     string   `arg:"" help:"Folder for the controllers' settings; made if need be."`
+	Capture string   `placeholder:"PROGRAM" help:"Run the commands that jobs are described with through this program (cmd/capture)."`
+	Store   []string `env:"REEDTRACK_STORE" placeholder:"HOST:PORT" help:"Addresses of the stores that keep their outputs."`
 }
 
 const settings = `host_name = "reed-%[1]d"
@@ -81,9 +85,24 @@
 		{Name: "small", Cores: 4, RAM: 16, CacheGB: 50, FetchGB: 1, Rate: 0.3, LowRate: 0.1, ReadyS: 3, Zones: []string{"a", "b"}},
 		{Name: "big", Cores: 16, RAM: 64, CacheGB: 50, FetchGB: 1, Rate: 1.1, LowRate: 0.4, ReadyS: 5, Zones: []string{"a"}},
 	}
+	fleet := standin.NewFleet(breeds, nodes, 1, 10)
+	if cli.Capture != "" {
+		if len(cli.Store) == 0 {
+			log.Fatal("--capture needs --store: where outputs go")
+		}
+		work, err := filepath.Abs(filepath.Join(cli.Dir, "work"))
+		if err != nil {
+			log.Fatal(err)
+		}
+		fleet.Runner = &standin.Runner{Capture: cli.Capture, Stores: cli.Store, Dir: work, Args: []string{"--drain", "10s"}}
+	}
 	store := standin.NewStore()
 	store.Limit(32<<10, 12, 200)
 	go func() { log.Fatal(http.ListenAndServe("127.0.0.1:8071", store)) }()
+	go func() { log.Fatal(http.ListenAndServe("127.0.0.1:8070", fleet)) }()
 	fmt.Println("state service on 127.0.0.1:8071, cloud on 127.0.0.1:8070")
-	log.Fatal(http.ListenAndServe("127.0.0.1:8070", standin.NewFleet(breeds, nodes, 1, 10)))
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, os.Interrupt, syscall.SIGTERM)
+	<-end
+	fleet.Stop()
 }
--- a/internal/coordination/overview.go
+++ b/internal/coordination/overview.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"reedtrack/internal/protocol"
@@ -20,6 +21,7 @@
 	now := n.now()
 	o := transport.Overview{Name: n.set.HostName, Leader: n.leaderRec.v.Name, Valid: n.valid(now),
 		LeaseLeft: max(0, n.validTil.Sub(now)).Round(100 * time.Millisecond)}
+	o.Outputs = strings.TrimSuffix(n.op.Outputs.Page, "/")
 	o.Upgrade = fmt.Sprintf("records of form %d", max(n.form.v.Form, storage.FormWhole))
 	if !n.switched() {
 		o.Upgrade += fmt.Sprintf(", upgrade: %d of %d controllers have run this version", len(n.marks), n.set.Deployment.Count)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -15,19 +15,22 @@
 )
 
 // Fleet stands in for the cloud and its workers, in real time and over HTTP.
-// Its machines boot in a few seconds; their tasks sleep for their job's guess.
+// Its machines boot in a few seconds; their tasks sleep for their job's guess, or
+// run its command where the fleet has a Runner.
 type Fleet struct {
 	Breeds  []protocol.Breed
 	Nodes   map[string]string // controllers, name to address
 	ReportS float64
 	LeaseS  float64
-	Most    int // machines to be had
+	Most    int     // machines to be had
+	Runner  *Runner // runs the commands of jobs that have one; nil: all tasks sleep
 
 	mu       sync.Mutex
 	next     int
 	machines map[string]*machine
 	asks     map[string][]string
 	jobs     map[string]*protocol.Job
+	commands map[string]Command
 	client   http.Client
 }
 
@@ -46,13 +49,13 @@
 
 type task struct {
 	protocol.TaskReport
-	timer *time.Timer
+	stop func() // ends it at once
 }
 
 // NewFleet returns a fleet of no machines.
 func NewFleet(breeds []protocol.Breed, nodes map[string]string, reportS, leaseS float64) *Fleet {
 	return &Fleet{Breeds: breeds, Nodes: nodes, ReportS: reportS, LeaseS: leaseS, Most: 20, machines: map[string]*machine{},
-		asks: map[string][]string{}, jobs: map[string]*protocol.Job{}, client: http.Client{Timeout: 4 * time.Second}}
+		asks: map[string][]string{}, jobs: map[string]*protocol.Job{}, commands: map[string]Command{}, client: http.Client{Timeout: 4 * time.Second}}
 }
 
 // ServeHTTP answers as the cloud, and takes job descriptions at /describe,
@@ -70,7 +73,12 @@
 			answerJSON(w, 400, protocol.Failure{Error: err.Error()})
 			return
 		}
-		f.jobs[j.ID] = j
+		var c Command
+		if err := json.Unmarshal(body, &c); err != nil {
+			answerJSON(w, 400, protocol.Failure{Error: err.Error()})
+			return
+		}
+		f.jobs[j.ID], f.commands[j.ID] = j, c
 		answerJSON(w, 200, struct{}{})
 	case r.URL.Path == "/machines" && r.Method == http.MethodPost:
 		var q protocol.Rental
@@ -90,6 +98,7 @@
 		for _, id := range q.Machines {
 			if m := f.machines[id]; m != nil {
 				m.gone = true
+				m.clear()
 				delete(f.machines, id)
 			}
 		}
@@ -161,10 +170,7 @@
 			return
 		}
 		if time.Since(m.sent).Seconds() > m.f.LeaseS {
-			for _, t := range m.tasks {
-				t.timer.Stop()
-			}
-			m.tasks = map[string]*task{}
+			m.clear()
 			m.stint++
 			m.sent = time.Now()
 		}
@@ -199,6 +205,24 @@
 	}
 }
 
+// clear ends all tasks; the fleet's lock is held.
+func (m *machine) clear() {
+	for _, t := range m.tasks {
+		t.stop()
+	}
+	m.tasks = map[string]*task{}
+}
+
+// Stop ends the tasks of all machines.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.machines {
+		m.gone = true
+		m.clear()
+	}
+}
+
 func (m *machine) poke() {
 	select {
 	case m.changed <- struct{}{}:
@@ -229,8 +253,8 @@
 		if t != nil {
 			return
 		}
-		id, _, _ := protocol.SplitTask(o.Task)
-		t = &task{TaskReport: protocol.TaskReport{Task: o.Task, Try: o.Try, Status: protocol.Running}}
+		id, n, _ := protocol.SplitTask(o.Task)
+		t = &task{TaskReport: protocol.TaskReport{Task: o.Task, Try: o.Try, Status: protocol.Running}, stop: func() {}}
 		m.tasks[o.Task] = t
 		j := m.f.jobs[id]
 		if j == nil {
@@ -238,21 +262,27 @@
 			m.poke()
 			return
 		}
-		length := time.Duration(j.GuessS * float64(time.Second))
-		if j.Standing() {
-			length = 24 * time.Hour
-		}
-		t.timer = time.AfterFunc(length, func() {
+		ended := func(cause string) {
 			m.f.mu.Lock()
 			defer m.f.mu.Unlock()
 			if t.Status == protocol.Running {
-				t.Status, t.Cause = protocol.Ended, protocol.CauseDone
+				t.Status, t.Cause = protocol.Ended, cause
 				m.poke()
 			}
-		})
+		}
+		if c := m.f.commands[id]; m.f.Runner != nil && len(c.Command) > 0 {
+			t.stop = m.f.Runner.start(Run{Job: j, Task: n, Try: o.Try, Machine: m.id, Stint: m.stint, Command: c}, ended)
+			return
+		}
+		length := time.Duration(j.GuessS * float64(time.Second))
+		if j.Standing() {
+			length = 24 * time.Hour
+		}
+		timer := time.AfterFunc(length, func() { ended(protocol.CauseDone) })
+		t.stop = func() { timer.Stop() }
 	case protocol.VerbHalt:
 		if t != nil && t.Try == o.Try && t.Status == protocol.Running {
-			t.timer.Stop()
+			t.stop()
 			t.Status, t.Cause = protocol.Ended, protocol.CauseHalted
 			m.poke()
 		}
--- a/internal/transport/operator.go
+++ b/internal/transport/operator.go
@@ -56,6 +56,7 @@
 	Jobs         []JobView
 	MoreJobs     int
 	Upgrade      string // how far it has come
+	Outputs      string // address at which people read outputs; empty: none
 }
 
 // ShardView is a shard's lease and size.
@@ -93,6 +94,14 @@
 	Before                       int // jobs that it waits for
 }
 
+// Output is where people read what a job's tasks have written; empty: nowhere.
+func (o Overview) Output(job string) string {
+	if o.Outputs == "" {
+		return ""
+	}
+	return o.Outputs + "/jobs/" + job
+}
+
 // Viewer gives the overview.
 type Viewer interface{ Overview() Overview }
 
@@ -103,7 +112,7 @@
 .bad{color:#b00}</style></head><body>
 <h1>{{.Name}}</h1>
 <p>{{if .Valid}}acting, lease for another {{.LeaseLeft}}{{else}}<b class="bad">not acting: no lease at the state service</b>{{end}};
-leader: {{or .Leader "none"}}; {{.Upgrade}}; <a href="/metrics">metrics</a></p>
+leader: {{or .Leader "none"}}; {{.Upgrade}}; <a href="/metrics">metrics</a>{{if .Outputs}}; <a href="{{.Outputs}}">outputs</a>{{end}}</p>
 <h2>Shards</h2><table><tr><th>shard</th><th>holder</th><th>term</th><th>blocks</th><th>jobs</th><th>on their way</th><th>tasks waiting</th><th></th></tr>
 {{range .Shards}}<tr><td>{{.Index}}</td><td>{{.Holder}}</td><td>{{.Term}}</td><td>{{.Blocks}}</td><td>{{.Jobs}}</td>
 <td>{{if .Mine}}{{.Coming}}{{end}}</td><td>{{if .Mine}}{{.Waiting}}{{end}}</td><td>{{if .Mine}}{{if .Settled}}settled{{else}}<span class="bad">settling</span>{{end}}{{end}}</td></tr>{{end}}</table>
@@ -112,7 +121,7 @@
 {{if .Machines}}<h2>Machines</h2><table><tr><th>machine</th><th>type</th><th>zone</th><th>kind</th><th>tasks</th><th>cores used</th><th>of</th><th>silent</th><th>state</th></tr>
 {{range .Machines}}<tr><td>{{.Name}}</td><td>{{.Breed}}</td><td>{{.Zone}}</td><td>{{.Kind}}</td><td>{{.Tasks}}</td><td>{{printf "%.1f" .Used}}</td><td>{{.Cores}}</td><td>{{.Silent}}</td><td>{{.State}}</td></tr>{{end}}</table>{{end}}
 {{if .Jobs}}<h2>Jobs</h2><table><tr><th>job</th><th>class</th><th>team</th><th>urgency</th><th>tasks</th><th>done</th><th>placed</th><th>waiting</th><th>age</th><th>guarantee</th><th>waits for jobs</th></tr>
-{{range .Jobs}}<tr><td>{{.ID}}</td><td>{{.Class}}</td><td>{{.Team}}</td><td>{{.Urgency}}</td><td>{{.Tasks}}</td><td>{{.Done}}</td><td>{{.Placed}}</td><td>{{.Waiting}}</td><td>{{.Age}}</td><td>{{if .Within}}within{{end}}</td><td>{{if .Before}}{{.Before}}{{end}}</td></tr>{{end}}</table>
+{{range .Jobs}}<tr><td>{{if $.Outputs}}<a href="{{$.Output .ID}}">{{.ID}}</a>{{else}}{{.ID}}{{end}}</td><td>{{.Class}}</td><td>{{.Team}}</td><td>{{.Urgency}}</td><td>{{.Tasks}}</td><td>{{.Done}}</td><td>{{.Placed}}</td><td>{{.Waiting}}</td><td>{{.Age}}</td><td>{{if .Within}}within{{end}}</td><td>{{if .Before}}{{.Before}}{{end}}</td></tr>{{end}}</table>
 {{if .MoreJobs}}<p>and {{.MoreJobs}} more</p>{{end}}{{end}}
 </body></html>`))
 
