Test identity, keys, access, settings, routing, membership and pages of outputs

Found by them: a view counted as fresh for half a lease after the state service had gone, since an answer's time was taken instead of its question's; a path with escaped slashes was looked up escaped.

--- a/internal/outputs/cluster/members.go
+++ b/internal/outputs/cluster/members.go
@@ -44,7 +44,7 @@
 
 	mu      sync.Mutex
 	view    *View
-	heard   time.Time // when the state service last answered
+	seen    time.Time // when the question was sent that the view answers
 	joined  time.Time // since when the name is held; zero: it is not
 	changed chan struct{}
 	problem string
@@ -88,12 +88,14 @@
 	return m.changed
 }
 
-// Fresh tells whether the view was confirmed by the state service within the life
-// of a lease, and this store's name is held. Only then may copies be dropped.
+// Fresh tells whether the view was confirmed by the state service about within the
+// life of a lease, and this store's name is held. Only then may copies be dropped.
 func (m *Membership) Fresh() bool {
+	rest := m.rest()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.State == nil || m.view.Known && time.Since(m.heard) < m.Life && !m.joined.IsZero()
+	// A watch takes half a life at most, and rests between two.
+	return m.State == nil || m.view.Known && time.Since(m.seen) < m.Life+2*rest && !m.joined.IsZero()
 }
 
 // Problem says why this store is not a member; empty: it is.
@@ -186,32 +188,25 @@
 			slog.Warn("lease of this store has ended, joining again", "name", m.Self.Name)
 			return
 		}
-		if err == nil {
-			m.word()
-		}
 	}
 }
 
-func (m *Membership) word() {
-	m.mu.Lock()
-	m.heard = time.Now()
-	m.mu.Unlock()
-}
-
 // follow reads all members and then each change.
 func (m *Membership) follow(ctx context.Context) {
 	for wait := time.Duration(0); ctx.Err() == nil; wait = backoff(wait, 200*time.Millisecond, m.Life/2) {
 		if !sleep(ctx, wait) {
 			return
 		}
+		sent := time.Now()
 		list, at, err := m.list(ctx)
 		if err != nil {
 			continue
 		}
-		m.show(list)
+		m.show(list, sent)
 		for err == nil && sleep(ctx, m.rest()) {
 			var ch protocol.Changes
 			// Back within a lease's life, so that Fresh means something.
+			sent := time.Now()
 			if ch, err = m.State.Follow(ctx, Prefix, at, m.Life/2); err != nil {
 				break
 			}
@@ -224,7 +219,7 @@
 					list = append(list, x)
 				}
 			}
-			m.show(list)
+			m.show(list, sent)
 			wait = 0
 		}
 	}
@@ -263,12 +258,12 @@
 
 // show makes a list of members the view. This store is in its own view as long as
 // it runs, whatever its lease: it would rather hold a copy too many.
-func (m *Membership) show(list []Member) {
+func (m *Membership) show(list []Member, sent time.Time) {
 	list = slices.DeleteFunc(slices.Clone(list), func(x Member) bool { return x.Name == m.Self.Name })
 	v := &View{Members: sorted(append(list, m.Self)), Known: true}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.heard = time.Now()
+	m.seen = sent
 	if v.equal(m.view) {
 		return
 	}
--- /dev/null
+++ b/internal/outputs/outputs_test.go
@@ -0,0 +1,190 @@
+package outputs
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/bufbuild/protocompile"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protodesc"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"pgregory.net/rapid"
+
+	pb "reedtrack/internal/outputs/outputsv1"
+)
+
+// The seed is fixed, so that a run has the same verdict every time.
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// No bytes that a task may write or name a file with reach a terminal as anything
+// but text; a path's name says which path it is.
+func TestNothingSteersATerminal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.SliceOf(rapid.OneOf(rapid.Byte(), rapid.SampledFrom([]byte("\x1b[31m\r\n\t\\\x9b\xc2\x9b\xe2\x80\xae\x07\x00")))).Draw(t, "text")
+		shown := Escape(nil, text)
+		if !utf8.Valid(shown) {
+			t.Fatalf("%q is not UTF-8", shown)
+		}
+		for _, r := range string(shown) {
+			if r != '\n' && r != '\t' && !unicode.IsPrint(r) {
+				t.Fatalf("%q shows %q", text, r)
+			}
+		}
+		other := rapid.SliceOf(rapid.SampledFrom([]byte("a\\x0\x1b\xff\n{}u"))).Draw(t, "other")
+		name, otherName := PathName(string(text)), PathName(string(other))
+		if (name == otherName) != bytes.Equal(text, other) {
+			t.Fatalf("%q and %q are named %q and %q", text, other, name, otherName)
+		}
+		if name != "" && strings.ContainsFunc(name, func(r rune) bool { return !unicode.IsPrint(r) }) {
+			t.Fatalf("%q is named %q", text, name)
+		}
+	})
+	if got := string(Escape(nil, []byte("a\r\n\x1b[2Jb\xc2\x9b1m \u202eevil \xff\\"))); got != "a\n\\x1b[2Jb\\u{9b}1m \\u{202e}evil \\xff\\\\" {
+		t.Errorf("%s", got)
+	}
+}
+
+// Spans do what a plain set of numbers does.
+func TestSpans(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s Spans
+		set := map[uint64]bool{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			from := rapid.Uint64Range(0, 40).Draw(t, "from")
+			to := from + rapid.Uint64Range(0, 8).Draw(t, "len")
+			add := rapid.Bool().Draw(t, "add")
+			for i := from; i < to; i++ {
+				if add {
+					set[i] = true
+				} else {
+					delete(set, i)
+				}
+			}
+			if add {
+				s = s.Add(from, to)
+			} else {
+				s = s.Sub(from, to)
+			}
+		}
+		for i, x := range s {
+			if x.From >= x.To || i > 0 && s[i-1].To >= x.From {
+				t.Fatalf("%v is not in order and apart", s)
+			}
+		}
+		missing := s.Missing(0, 60)
+		for i := range uint64(60) {
+			until, after := i, uint64(0)
+			for set[until] {
+				until++
+			}
+			has := false
+			for j := i; j < 60 && !has; j++ {
+				if set[j] {
+					after, has = j, true
+				}
+			}
+			gotAfter, gotHas := s.After(i)
+			if (s.Until(i) > i) != set[i] || s.Until(i) != until || (missing.Until(i) > i) == set[i] || gotHas != has || has && gotAfter != after {
+				t.Fatalf("at %d: %v, until %d, after %d", i, s, s.Until(i), gotAfter)
+			}
+		}
+		if int(s.Count()) != len(set) {
+			t.Fatalf("%v counts %d, not %d", s, s.Count(), len(set))
+		}
+	})
+}
+
+// A key tells the attempt and orders attempts; tries of a task have one route.
+func TestKeys(t *testing.T) {
+	a := &pb.Attempt{Job: "wk-000412", Task: 3, Try: 2, Team: "red", Machine: "host-1", Stint: 4, Run: RunOf([]byte("0123456789abcdef"))}
+	got, err := ParseKey(Key(a))
+	if err != nil || !proto.Equal(got, a) {
+		t.Fatalf("%v, %v", got, err)
+	}
+	b := proto.CloneOf(a)
+	b.Try, b.Machine = 9, "host-2"
+	if !bytes.Equal(Route(Key(a)), Route(Key(b))) || bytes.Compare(Key(a), Key(b)) >= 0 {
+		t.Error("another try has another route, or an earlier key")
+	}
+	b.Task = 4
+	if bytes.Equal(Route(Key(a)), Route(Key(b))) {
+		t.Error("another task has the same route")
+	}
+	if !Owns(a, []byte("0123456789abcdef")) || Owns(a, []byte("0123456789abcdeF")) || Owns(a, nil) {
+		t.Error("the secret is not told from others")
+	}
+	for _, bad := range []func(*pb.Attempt){func(a *pb.Attempt) { a.Job = "x" }, func(a *pb.Attempt) { a.Team = "a b" }, func(a *pb.Attempt) { a.Machine = "a\x00b" },
+		func(a *pb.Attempt) { a.Team = "../x" }, func(a *pb.Attempt) { a.Task = 100000 }, func(a *pb.Attempt) { a.Run = a.Run[:3] }, func(a *pb.Attempt) { a.Machine = strings.Repeat("x", 101) }} {
+		c := proto.CloneOf(a)
+		bad(c)
+		if CheckAttempt(c) == nil {
+			t.Errorf("%v was taken", c)
+		}
+	}
+	for _, raw := range [][]byte{nil, {}, []byte("wk-1"), Key(a)[:20], append(Key(a), 1)} {
+		if _, err := ParseKey(raw); err == nil {
+			t.Errorf("key %q was taken", raw)
+		}
+	}
+}
+
+// A block is taken only if all of it is what it says.
+func TestUnpackRefuses(t *testing.T) {
+	good := func() []*pb.Record {
+		return []*pb.Record{{Seq: 4, Stream: 1, Data: []byte("a\n")}, {Seq: 5, Stream: 2, Data: []byte("b")}}
+	}
+	if rs, err := Unpack(Pack(good(), true)); err != nil || len(rs) != 2 || Tally(rs).StdoutLines != 1 || Tally(rs).StderrBytes != 1 {
+		t.Fatal(rs, err)
+	}
+	for name, change := range map[string]func([]*pb.Record, *pb.Block){
+		"order":     func(r []*pb.Record, _ *pb.Block) { r[1].Seq = 7 },
+		"stream":    func(r []*pb.Record, _ *pb.Block) { r[1].Stream = 9 },
+		"gap":       func(r []*pb.Record, _ *pb.Block) { r[1].Stream, r[1].Data = 3, []byte{0xff} },
+		"long":      func(r []*pb.Record, _ *pb.Block) { r[1].Data = make([]byte, MaxRecord+1) },
+		"count":     func(_ []*pb.Record, b *pb.Block) { b.Count = 3 },
+		"first":     func(_ []*pb.Record, b *pb.Block) { b.First = 3 },
+		"overflow":  func(_ []*pb.Record, b *pb.Block) { b.First = 1<<64 - 1 },
+		"not zstd":  func(_ []*pb.Record, b *pb.Block) { b.Zstd = []byte("plain") },
+		"zip bomb":  func(_ []*pb.Record, b *pb.Block) { b.Zstd = Compress(make([]byte, 64<<20), false) },
+		"no record": func(_ []*pb.Record, b *pb.Block) { b.Count, b.Zstd = 0, Compress(nil, false) },
+	} {
+		rs := good()
+		change(rs, new(pb.Block))
+		b := Pack(rs, false)
+		change(good(), b)
+		if _, err := Unpack(b); err == nil {
+			t.Errorf("%s was taken", name)
+		}
+	}
+	c := PackChunk([]byte("data"))
+	if _, err := UnpackChunk(c); err != nil {
+		t.Fatal(err)
+	}
+	c.Sha256[0] ^= 1
+	if _, err := UnpackChunk(c); err == nil {
+		t.Error("a chunk of another name was taken")
+	}
+}
+
+// What is generated is of the schema as it stands.
+func TestGenerated(t *testing.T) {
+	c := protocompile.Compiler{Resolver: protocompile.WithStandardImports(&protocompile.SourceResolver{ImportPaths: []string{"../../proto"}})}
+	files, err := c.Compile(context.Background(), "reedtrack/outputs/v1/outputs.proto", "reedtrack/outputs/v1/index.proto")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, have := range []protoreflect.FileDescriptor{pb.File_reedtrack_outputs_v1_outputs_proto, pb.File_reedtrack_outputs_v1_index_proto} {
+		if !proto.Equal(protodesc.ToFileDescriptorProto(have), protodesc.ToFileDescriptorProto(files[i])) {
+			t.Errorf("%s has changed; go run ./internal/tools/protogen", have.Path())
+		}
+	}
+}
--- a/internal/outputs/serve/pages.go
+++ b/internal/outputs/serve/pages.go
@@ -350,6 +350,11 @@
 		return err
 	}
 	name := c.Param("*")
+	if c.Request().URL.RawPath != "" { // echo leaves it escaped then
+		if name, err = url.PathUnescape(name); err != nil {
+			return bad("path", "not an escaped path")
+		}
+	}
 	q := &pb.FetchRequest{Attempt: s.Attempt, Path: name}
 	status := http.StatusOK
 	if from, ok := strings.CutPrefix(c.Request().Header.Get("Range"), "bytes="); ok && strings.HasSuffix(from, "-") {
