--- a/internal/outputs/capture/ship.go
+++ b/internal/outputs/capture/ship.go
@@ -104,6 +104,7 @@
 	digest  *outputs.Digest
 	missing *pb.Gap
 	unsure  bool
+	saved   time.Time
 	copies  uint32 // the fewest that one acknowledgement named
 	most    uint64 // of artefacts, as the stores say; 0: no bound
 }
@@ -164,18 +165,51 @@
 	return nil
 }
 
+// flight is a request under way.
+type flight struct {
+	list   []*pb.Record
+	copies uint32
+	done   chan error
+}
+
+// mostFlights is how many requests of one attempt may be under way. The stores take
+// blocks in any order; they are acknowledged to the spool in theirs.
+const mostFlights = 4
+
 // records ships records until there are no more: while the task runs until done is
 // closed, and what was there then.
 func (s *shipper) records(ctx context.Context, done <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	ended := done == nil
+	sent := s.seq
+	var flights []*flight
 	for {
-		list, err := s.sp.Read(s.seq, shipBytes)
+		list, err := s.sp.Read(sent, shipBytes)
 		if err != nil {
 			return err
 		}
-		if len(list) == 0 {
+		if !ended && len(flights) == 0 && len(list) > 0 && size(list) < shipBytes/8 { // a little more may come
+			select {
+			case <-time.After(linger):
+			case <-done:
+				ended = true
+			}
+			if list, err = s.sp.Read(sent, shipBytes); err != nil {
+				return err
+			}
+		}
+		// Beside others only a request that is worth it.
+		if n := len(flights); len(list) > 0 && (n == 0 || n < mostFlights && size(list) >= shipBytes/2) {
+			f := &flight{list: list, done: make(chan error, 1)}
+			go s.fly(ctx, f)
+			flights = append(flights, f)
+			sent += uint64(len(list))
+			continue
+		}
+		if len(flights) == 0 {
 			if ended {
-				return nil
+				return s.note()
 			}
 			select {
 			case <-done:
@@ -186,18 +220,18 @@
 			}
 			continue
 		}
-		if !ended && size(list) < shipBytes/8 { // a little more may come
-			select {
-			case <-time.After(linger):
-			case <-done:
-				ended = true
+		select {
+		case err := <-flights[0].done:
+			if err != nil {
+				return err
 			}
-			if list, err = s.sp.Read(s.seq, shipBytes); err != nil {
+			if err := s.landed(flights[0]); err != nil {
 				return err
 			}
-		}
-		if err := s.ship(ctx, list); err != nil {
-			return err
+			flights = flights[1:]
+		case <-s.added:
+		case <-done:
+			ended, done = true, nil
 		}
 	}
 }
@@ -210,17 +244,22 @@
 	return n
 }
 
-// ship sends some records and notes that the stores have them.
-func (s *shipper) ship(ctx context.Context, list []*pb.Record) error {
-	ctx, sp := tracer.Start(ctx, "ship", trace.WithAttributes(attribute.Int("records", len(list)), attribute.Int("bytes", size(list))))
+// fly sends some records.
+func (s *shipper) fly(ctx context.Context, f *flight) {
+	ctx, sp := tracer.Start(ctx, "ship", trace.WithAttributes(attribute.Int("records", len(f.list)), attribute.Int("bytes", size(f.list))))
 	defer sp.End()
-	out, err := call(ctx, s, &pb.AppendRequest{Attempt: s.about.attempt(), Secret: s.about.Secret, Meta: s.about.meta(), Block: outputs.Pack(list, false)},
+	out, err := call(ctx, s, &pb.AppendRequest{Attempt: s.about.attempt(), Secret: s.about.Secret, Meta: s.about.meta(), Block: outputs.Pack(f.list, false)},
 		outputsv1connect.WriterServiceClient.Append)
-	if err != nil {
-		return err
+	if err == nil {
+		f.copies = out.Copies
 	}
-	s.noteCopies(out.Copies)
-	for _, r := range list {
+	f.done <- err
+}
+
+// landed notes that the stores have some records, and all before them.
+func (s *shipper) landed(f *flight) error {
+	s.noteCopies(f.copies)
+	for _, r := range f.list {
 		s.digest.Add(r)
 		if r.Stream == pb.Stream_STREAM_GAP {
 			var g pb.Gap
@@ -233,7 +272,19 @@
 			}
 		}
 	}
-	s.seq += uint64(len(list))
+	s.seq += uint64(len(f.list))
+	if time.Since(s.saved) < saveEvery { // who is killed sends it again, which costs little
+		return nil
+	}
+	return s.note()
+}
+
+// saveEvery bounds how often it is noted what the stores have.
+const saveEvery = 200 * time.Millisecond
+
+// note notes what the stores have, and gives back what the spool kept of it.
+func (s *shipper) note() error {
+	s.saved = time.Now()
 	if err := s.save(); err != nil {
 		return err
 	}
--- a/internal/outputs/cluster/read.go
+++ b/internal/outputs/cluster/read.go
@@ -103,7 +103,8 @@
 		}
 		after, more := r.after(list)
 		switch {
-		case more && (len(away) == 0 && len(r.failed) == 0 || time.Since(stuck) > patience):
+		// Blocks of an open attempt may be on their way in any order.
+		case more && (sealed && len(away) == 0 && len(r.failed) == 0 || time.Since(stuck) > patience):
 			if err := r.hole(max(after, r.next+1)); err != nil {
 				return err
 			}
--- a/internal/outputs/disk/commit.go
+++ b/internal/outputs/disk/commit.go
@@ -23,8 +23,8 @@
 }
 
 type item struct {
-	e       *pb.Entry
-	records []*pb.Record // of a block
+	e     *pb.Entry
+	tally *pb.Tally // of a block
 }
 
 // batchBytes is how much is gathered for one write and one sync.
@@ -40,16 +40,16 @@
 		it := item{e: e}
 		switch w := e.What.(type) {
 		case *pb.Entry_Block:
-			records, err := outputs.Unpack(w.Block)
-			if err != nil {
+			// Only what was counted is kept: what waits is as small as it came.
+			if err := s.checked(ctx, func() error {
+				records, err := outputs.Unpack(w.Block)
+				it.tally = outputs.Tally(records)
+				return err
+			}); err != nil {
 				return err
-			}
-			it.records = records
-			for _, rec := range records {
-				r.size += int64(len(rec.Data)) + 64
 			}
 		case *pb.Entry_Chunk:
-			if _, err := outputs.UnpackChunk(w.Chunk); err != nil {
+			if err := s.checked(ctx, func() error { _, err := outputs.UnpackChunk(w.Chunk); return err }); err != nil {
 				return err
 			}
 		case *pb.Entry_Open, *pb.Entry_Seal, *pb.Entry_Thin, *pb.Entry_Drop:
@@ -102,6 +102,18 @@
 	}
 }
 
+// checked unpacks something to check it. As many do so at once as there are
+// processors: more would only take memory.
+func (s *Store) checked(ctx context.Context, f func() error) error {
+	select {
+	case s.checks <- struct{}{}:
+		defer func() { <-s.checks }()
+		return f()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // write is the only goroutine that writes to segments and applies entries.
 func (s *Store) write() {
 	defer s.wg.Done()
@@ -295,10 +307,13 @@
 		with.end = max(with.end, end)
 		var out []*pb.Entry
 		for _, m := range outputs.Spans(st.Spans).Missing(b.First, end) {
-			part := it.records[m.From-b.First : m.To-b.First]
-			nb := counted(b, part)
-			if len(part) != len(it.records) {
-				nb = outputs.Pack(part, false)
+			nb := &pb.Block{First: b.First, Count: b.Count, Zstd: b.Zstd, Tally: it.tally}
+			if m.To-m.From != uint64(b.Count) {
+				records, err := outputs.Unpack(b)
+				if err != nil {
+					return nil, err
+				}
+				nb = outputs.Pack(records[m.From-b.First:m.To-b.First], false)
 			}
 			out = append(out, &pb.Entry{Key: e.Key, What: &pb.Entry_Block{Block: nb}})
 		}
@@ -337,10 +352,6 @@
 	return []*pb.Entry{{Key: e.Key, What: e.What}}
 }
 
-func counted(b *pb.Block, records []*pb.Record) *pb.Block {
-	return &pb.Block{First: b.First, Count: b.Count, Zstd: b.Zstd, Tally: outputs.Tally(records)}
-}
-
 // apply takes an entry that stands in a segment into the state. mu is held.
 func (s *Store) apply(e *pb.Entry, p *pb.Place, now time.Time) {
 	s.version++
--- a/internal/outputs/disk/store.go
+++ b/internal/outputs/disk/store.go
@@ -7,6 +7,7 @@
 	"maps"
 	"os"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -69,7 +70,8 @@
 	active     *segment // only of the writer
 	activeSize int64    // likewise
 	queue      chan *request
-	queued     int64 // bytes
+	queued     int64         // bytes
+	checks     chan struct{} // slots
 	kick       chan struct{}
 	done       chan struct{}
 	wg         sync.WaitGroup
@@ -136,7 +138,7 @@
 	}
 	s := &Store{opt: opt, fs: opt.FS, db: db, attempts: map[string]*attempt{}, chunks: map[string]*pb.Place{}, lost: map[string]*pb.Place{},
 		segs: map[uint32]*segInfo{}, teams: map[string]uint64{}, teamsNew: map[string]bool{}, missing: map[uint32]bool{}, nextSeg: 1,
-		queue: make(chan *request, 4096), kick: make(chan struct{}, 1), done: make(chan struct{})}
+		queue: make(chan *request, 4096), checks: make(chan struct{}, runtime.GOMAXPROCS(0)), kick: make(chan struct{}, 1), done: make(chan struct{})}
 	if err := s.recover(); err != nil {
 		db.Close()
 		for _, g := range s.segs {
--- a/internal/outputs/framing/framing.go
+++ b/internal/outputs/framing/framing.go
@@ -7,6 +7,7 @@
 	"errors"
 	"hash/crc32"
 	"io"
+	"sync"
 )
 
 const (
@@ -71,23 +72,32 @@
 	return len(b)
 }
 
+// window is how much Scan reads at once, at least.
+const window = 256 << 10
+
+var windows = sync.Pool{New: func() any { b := make([]byte, window); return &b }}
+
 // Scan reads the frames of a file of a size from an offset on. It passes over what
-// is damaged and goes on at the next frame that is not. each may say ErrDamaged of
-// a body. Scan returns the end of the last good frame, beyond which a write was
-// torn, and what was damaged before it.
+// is damaged and goes on at the next frame that is not. each must not keep the
+// body, and may say ErrDamaged of it. Scan returns the end of the last good frame,
+// beyond which a write was torn, and what was damaged before it.
 func Scan(f io.ReaderAt, from, size int64, each func(body []byte, offset int64, length int) error) (end int64, bad []Range, err error) {
-	buf, at := []byte(nil), from // buf holds what stands at at
+	room := windows.Get().(*[]byte)
+	defer windows.Put(room)
+	at, have := from, (*room)[:0] // what stands at at
 	fill := func(want int) error {
-		if len(buf) >= want {
+		if len(have) >= want {
 			return nil
 		}
-		more := make([]byte, max(want, 1<<20))
-		n := copy(more, buf)
-		got, err := f.ReadAt(more[n:], at+int64(n))
+		if len(*room) < want {
+			*room = make([]byte, want+window)
+		}
+		n := copy(*room, have)
+		got, err := f.ReadAt((*room)[n:], at+int64(n))
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
 		}
-		buf = more[:n+got]
+		have = (*room)[:n+got]
 		return nil
 	}
 	end = from
@@ -96,12 +106,12 @@
 		if err := fill(Head); err != nil {
 			return end, bad, err
 		}
-		body, n, err := Next(buf)
-		if errors.Is(err, io.ErrUnexpectedEOF) && n > 0 && at+int64(len(buf)) < size {
+		body, n, err := Next(have)
+		if errors.Is(err, io.ErrUnexpectedEOF) && n > 0 && at+int64(len(have)) < size {
 			if err := fill(n); err != nil {
 				return end, bad, err
 			}
-			body, n, err = Next(buf)
+			body, n, err = Next(have)
 		}
 		if err == nil {
 			err = each(body, at, n)
@@ -115,11 +125,11 @@
 			}
 			// A mark may also stand in the data by chance: the checksum tells.
 			skip := 1
-			if len(buf) > 1 {
-				skip += Seek(buf[1:])
+			if len(have) > 1 {
+				skip += Seek(have[1:])
 			}
 			at += int64(skip)
-			buf = buf[min(skip, len(buf)):]
+			have = have[min(skip, len(have)):]
 			continue
 		}
 		if lost >= 0 {
@@ -127,7 +137,7 @@
 			lost = -1
 		}
 		at += int64(n)
-		buf = buf[n:]
+		have = have[n:]
 		end = at
 	}
 	return end, bad, nil
--- a/internal/outputs/serve/server.go
+++ b/internal/outputs/serve/server.go
@@ -44,7 +44,7 @@
 
 // New makes the handler of a store's requests.
 func New(node *cluster.Node, tokens *access.Tokens, b Bounds, options ...connect.HandlerOption) http.Handler {
-	options = append([]connect.HandlerOption{connect.WithReadMaxBytes(16 << 20), connect.WithSendMaxBytes(16 << 20),
+	options = append([]connect.HandlerOption{connect.WithReadMaxBytes(16 << 20), connect.WithSendMaxBytes(16 << 20), connect.WithCompressMinBytes(4 << 10),
 		connect.WithInterceptors(counting{})}, options...)
 	w := &writer{node: node, slots: make(chan struct{}, b.Writes)}
 	r := &reader{node: node, slots: make(chan struct{}, b.Reads), follows: make(chan struct{}, b.Follows)}
