List and find among 100,000 tasks fast, with and without a team's name

Measured with two stores on one machine: a page of 1,000 attempts took 420 ms, since all that was in memory was copied for each, and a task was looked for among all of its job where the asker's team is not known. What is sealed leaves memory when the index has it.

--- a/cmd/outputsbench/figures.go
+++ b/cmd/outputsbench/figures.go
@@ -38,9 +38,13 @@
 	if err != nil {
 		return nil, err
 	}
+	return loadOver(s, job, task), nil
+}
+
+func loadOver(s *client.Stores, job string, task int) *load {
 	secret := fmt.Appendf(nil, "the secret of writer %08d", task)
 	return &load{stores: s, secret: secret, digest: outputs.NewDigest(),
-		attempt: &pb.Attempt{Job: job, Task: uint32(task), Try: 1, Team: "red", Machine: "bench", Stint: 1, Run: outputs.RunOf(secret)}}, nil
+		attempt: &pb.Attempt{Job: job, Task: uint32(task), Try: 1, Team: "red", Machine: "bench", Stint: 1, Run: outputs.RunOf(secret)}}
 }
 
 // next makes the next records, of so many bytes in all.
@@ -254,12 +258,13 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			stores, err := client.Dial(f.addrs(), "", "")
 			for i := range tasks {
-				l, err := newLoad(f.addrs(), job, i)
 				if err != nil {
 					failed.Store(err)
-					return
+					continue
 				}
+				l := loadOver(stores, job, i)
 				l.text, l.at = text, (i*104729)%(len(text)/2)
 				addr := l.stores.Addresses()[i%len(f.stores)]
 				for left := each; left > 0; left -= 256 << 10 {
@@ -399,7 +404,7 @@
 		return err
 	}
 	defer f.stop()
-	loads, err := fill(f, "wk-000001", 400e6, 400<<10)
+	loads, err := fill(f, "wk-000001", 2e9, 1<<20)
 	if err != nil {
 		return err
 	}
@@ -435,17 +440,16 @@
 	}
 	fmt.Printf("a member of three lost with %.0f MB (of %d attempts in all): %v until everything is held twice, 3 s of them its lease: %.0f MB/s\n", float64(held)/1e6, len(loads), took, float64(held)/1e6/max(0.1, took.Seconds()-3))
 	away := f.stores[1]
-	before := away
-	before.kill()
+	away.kill()
 	l, err := newLoad(f.addrs()[:1], "wk-000001", 99999)
 	if err != nil {
 		return err
 	}
 	l.text = logText(3, 1<<20)
-	if err := l.append(background, f.stores[0].addr, l.next(100<<10)); err != nil {
+	if err := l.append(background, l.stores.Addresses()[0], l.next(100<<10)); err != nil {
 		return err
 	}
-	if err := l.seal(background, f.stores[0].addr, 0); err != nil {
+	if err := l.seal(background, l.stores.Addresses()[0], 0); err != nil {
 		return err
 	}
 	if err := away.start(); err != nil {
--- a/internal/outputs/cluster/gather.go
+++ b/internal/outputs/cluster/gather.go
@@ -201,17 +201,27 @@
 
 // Scan lists what this member holds.
 func (n *Node) Scan(q *pb.ScanRequest) *pb.ScanResponse {
-	prefix := outputs.JobPrefix(q.Job, q.Team)
-	var keep func(*pb.Attempt) bool
+	limit := int(min(max(q.Limit, 1), 1000))
+	prefixes := [][]byte{outputs.JobPrefix(q.Job, q.Team)}
 	if q.Task != nil {
-		if q.Team != "" {
-			prefix = outputs.TaskPrefix(q.Job, q.Team, *q.Task)
-		} else {
-			keep = func(a *pb.Attempt) bool { return a.Task == *q.Task }
+		teams := []string{q.Team}
+		if q.Team == "" {
+			teams = n.store.Teams(q.Job)
+		}
+		prefixes = nil
+		for _, t := range teams {
+			prefixes = append(prefixes, outputs.TaskPrefix(q.Job, t, *q.Task))
+		}
+	}
+	out := new(pb.ScanResponse)
+	for _, p := range prefixes {
+		var held []*pb.Held
+		held, out.More = n.store.Scan(p, q.After, q.Which, limit-len(out.Held))
+		if out.Held = append(out.Held, held...); out.More {
+			break
 		}
 	}
-	held, more := n.store.Scan(prefix, q.After, q.Which, int(min(max(q.Limit, 1), 1000)), keep)
-	return &pb.ScanResponse{Held: held, More: more}
+	return out
 }
 
 // Describe tells of an attempt, with its seal if anybody has it.
--- a/internal/outputs/disk/commit.go
+++ b/internal/outputs/disk/commit.go
@@ -376,7 +376,7 @@
 	if e.GetDrop() != nil {
 		if a := s.load(key); a != nil {
 			a.dropped = e.GetDrop().Reason
-			a.changed(now)
+			s.touch(a, now)
 		}
 		return
 	}
@@ -413,7 +413,7 @@
 		a.st.StoredBytes += uint64(p.Length)
 		s.addTeam(key, int64(p.Length))
 	}
-	a.changed(now)
+	s.touch(a, now)
 }
 
 // hasChunk tells whether a chunk is held. mu is held.
--- a/internal/outputs/disk/flush.go
+++ b/internal/outputs/disk/flush.go
@@ -74,6 +74,14 @@
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, c := range snap.attempts {
+		if c.a.flushing = false; !c.a.dirty && err == nil {
+			delete(s.changed, c.a.key)
+			if c.a.st.Sealed && c.a.watch == nil { // seldom asked for again soon
+				delete(s.attempts, c.a.key)
+			}
+		}
+	}
 	if err != nil {
 		s.back(snap)
 		return err
@@ -108,6 +116,10 @@
 	for _, p := range freed {
 		s.free1(p)
 	}
+	if now.Sub(s.evicted) < 10*time.Second {
+		return nil
+	}
+	s.evicted = now
 	for k, a := range s.attempts { // what nobody asks for any more
 		if !a.dirty && len(a.recent) == 0 && a.watch == nil && now.Sub(a.used) > 30*time.Second {
 			delete(s.attempts, k)
@@ -130,12 +142,12 @@
 	defer s.mu.Unlock()
 	snap := &snapshot{chunks: map[string]*pb.Place{}, lost: map[string]*pb.Place{}, segs: map[uint32]*pb.SegmentState{}, teams: map[string]uint64{}}
 	any := false
-	for _, a := range s.attempts {
-		if !a.dirty {
+	for _, a := range s.changed {
+		if !a.dirty { // on its way
 			continue
 		}
 		any = true
-		a.dirty = false
+		a.dirty, a.flushing = false, true
 		if a.dropped != "" && !a.counted {
 			a.counted = true
 			s.at.Attempts--
@@ -181,7 +193,7 @@
 // back marks as changed what could not be written. mu is held.
 func (s *Store) back(snap *snapshot) {
 	for _, c := range snap.attempts {
-		c.a.dirty = true
+		s.mark(c.a)
 	}
 	for id := range snap.segs {
 		if g := s.segs[id]; g != nil {
--- a/internal/outputs/disk/model_test.go
+++ b/internal/outputs/disk/model_test.go
@@ -235,7 +235,7 @@
 					return err
 				}
 			}
-			failed, _ := s.Scan(key, nil, pb.Which_WHICH_FAILED, 10, nil)
+			failed, _ := s.Scan(key, nil, pb.Which_WHICH_FAILED, 10)
 			if (len(failed) == 1) != (a.sealed%3 != 0) {
 				return fmt.Errorf("%q with status %d is listed %d times as failed", k, a.sealed%3, len(failed))
 			}
--- a/internal/outputs/disk/read.go
+++ b/internal/outputs/disk/read.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 
@@ -30,7 +31,8 @@
 		st.Whole = true
 		s.mu.Lock()
 		if a := s.load(string(key)); a != nil && a.st.Id == st.Id && a.dropped == "" {
-			a.st.Whole, a.dirty = true, true
+			a.st.Whole = true
+			s.mark(a)
 		}
 		s.mu.Unlock()
 	}
@@ -205,13 +207,15 @@
 	})
 	for _, key := range users {
 		if a := s.load(key); a != nil {
-			a.st.Whole, a.dirty = false, true
+			a.st.Whole = false
+			s.mark(a)
 		}
 	}
 	// Attempts whose seal the index lacks yet may name it too.
 	for _, a := range s.attempts {
 		if a.seal != nil && a.st.Whole && len(a.seal.Artefacts) > 0 {
-			a.st.Whole, a.dirty = false, true
+			a.st.Whole = false
+			s.mark(a)
 		}
 	}
 }
@@ -369,15 +373,15 @@
 		a.dead = map[uint64]*pb.Place{}
 	}
 	a.dead[r.first] = r.place
-	a.changed(s.opt.Now())
+	s.touch(a, s.opt.Now())
 }
 
 // Scan lists attempts whose key begins with a prefix, after a key (nil: from the
-// first), by key. keep must not ask the store for anything.
-func (s *Store) Scan(prefix, after []byte, which pb.Which, limit int, keep func(*pb.Attempt) bool) (list []*pb.Held, more bool) {
+// first), by key.
+func (s *Store) Scan(prefix, after []byte, which pb.Which, limit int) (list []*pb.Held, more bool) {
 	s.each(prefix, after, which, func(key []byte, st *pb.AttemptState) bool {
 		h := held(key, st)
-		if h == nil || keep != nil && !keep(h.Summary.Attempt) {
+		if h == nil {
 			return true
 		}
 		if len(list) == limit {
@@ -390,6 +394,29 @@
 	return list, more
 }
 
+// Teams lists the teams that have attempts of a job here, in the order of keys.
+func (s *Store) Teams(job string) []string {
+	prefix := outputs.JobPrefix(job, "")
+	found := map[string]bool{}
+	s.mu.Lock()
+	for k := range s.changed {
+		if strings.HasPrefix(k, string(prefix)) {
+			found[teamOfKey(k)] = true
+		}
+	}
+	s.mu.Unlock()
+	s.db.View(func(tx *bbolt.Tx) error {
+		cur := tx.Bucket(bAttempts).Cursor()
+		for k, _ := cur.Seek(prefix); k != nil && bytes.HasPrefix(k, prefix); {
+			team := teamOfKey(string(k))
+			found[team] = true
+			k, _ = cur.Seek(append(append(bytes.Clone(prefix), team...), 1)) // behind all of the team's
+		}
+		return nil
+	})
+	return slices.Sorted(maps.Keys(found))
+}
+
 // Each calls f with every attempt held and what sums it up, by key, until f says
 // no. f must not ask the store for anything.
 func (s *Store) Each(f func(key []byte, print uint64, st *pb.AttemptState) bool) {
@@ -419,7 +446,7 @@
 	}
 	var changes []dirty
 	s.mu.Lock()
-	for k, a := range s.attempts {
+	for k, a := range s.changed {
 		if !strings.HasPrefix(k, string(prefix)) || after != nil && k <= string(after) {
 			continue
 		}
--- a/internal/outputs/disk/store.go
+++ b/internal/outputs/disk/store.go
@@ -54,6 +54,8 @@
 
 	mu       sync.Mutex
 	attempts map[string]*attempt  // those with changes that the index lacks, and those in use
+	changed  map[string]*attempt  // of them, those with changes
+	evicted  time.Time            // when attempts not in use were last let go
 	chunks   map[string]*pb.Place // new ones that the index lacks
 	lost     map[string]*pb.Place // chunks found damaged that the index still has
 	segs     map[uint32]*segInfo  // all
@@ -93,16 +95,17 @@
 
 // attempt is an attempt in memory.
 type attempt struct {
-	key     string
-	st      *pb.AttemptState
-	seal    *pb.Seal // if the index lacks it
-	recent  []blockRef
-	dead    map[uint64]*pb.Place // blocks found damaged that the index still has, by first record
-	dirty   bool
-	dropped string // why
-	counted bool   // dropped and no longer counted
-	watch   chan struct{}
-	used    time.Time
+	key      string
+	st       *pb.AttemptState
+	seal     *pb.Seal // if the index lacks it
+	recent   []blockRef
+	dead     map[uint64]*pb.Place // blocks found damaged that the index still has, by first record
+	dirty    bool
+	flushing bool   // on its way into the index
+	dropped  string // why
+	counted  bool   // dropped and no longer counted
+	watch    chan struct{}
+	used     time.Time
 }
 
 type blockRef struct {
@@ -136,7 +139,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", opt.Dir, err)
 	}
-	s := &Store{opt: opt, fs: opt.FS, db: db, attempts: map[string]*attempt{}, chunks: map[string]*pb.Place{}, lost: map[string]*pb.Place{},
+	s := &Store{opt: opt, fs: opt.FS, db: db, attempts: map[string]*attempt{}, changed: map[string]*attempt{}, chunks: map[string]*pb.Place{}, lost: map[string]*pb.Place{},
 		segs: map[uint32]*segInfo{}, teams: map[string]uint64{}, teamsNew: map[string]bool{}, missing: map[uint32]bool{}, nextSeg: 1,
 		queue: make(chan *request, 4096), checks: make(chan struct{}, runtime.GOMAXPROCS(0)), kick: make(chan struct{}, 1), done: make(chan struct{})}
 	if err := s.recover(); err != nil {
@@ -243,9 +246,15 @@
 
 func (a *attempt) spans() outputs.Spans { return a.st.Spans }
 
-// changed notes a change and wakes who waits for one.
-func (a *attempt) changed(now time.Time) {
+// mark notes that the index lacks something of an attempt. mu is held.
+func (s *Store) mark(a *attempt) {
 	a.dirty = true
+	s.changed[a.key] = a
+}
+
+// touch notes a change and wakes who waits for one. mu is held.
+func (s *Store) touch(a *attempt, now time.Time) {
+	s.mark(a)
 	a.st.TouchedNs = now.UnixNano()
 	if a.watch != nil {
 		close(a.watch)
@@ -434,7 +443,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a := s.load(string(key)); a != nil && len(a.st.Thin) > 0 {
-		a.st.Thin, a.dirty = nil, true
+		a.st.Thin = nil
+		s.mark(a)
 	}
 }
 
