--- a/internal/outputs/cluster/view_test.go
+++ b/internal/outputs/cluster/view_test.go
@@ -13,7 +13,10 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"reedtrack/internal/outputs"
+	"reedtrack/internal/outputs/disk"
 	pb "reedtrack/internal/outputs/outputsv1"
 	"reedtrack/internal/standin"
 	"reedtrack/internal/storage"
@@ -177,3 +180,58 @@
 	c.n.Add(1)
 	c.next.ServeHTTP(w, r)
 }
+
+// yes is a peer that confirms everything.
+type yes struct{ Peer }
+
+func (yes) Confirm(_ context.Context, r *connect.Request[pb.ConfirmRequest]) (*connect.Response[pb.ConfirmResponse], error) {
+	out := &pb.ConfirmResponse{Held: make([]bool, len(r.Msg.Held))}
+	for i := range out.Held {
+		out.Held[i] = true
+	}
+	return connect.NewResponse(out), nil
+}
+
+// Two members that see different members could each drop their copy for the
+// other's: who has confirmed one keeps it for a while, whoever confirms it then.
+func TestConfirmedCopyStays(t *testing.T) {
+	store, err := disk.Open(disk.Options{Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	one, two := Member{Name: "one", Zone: "a"}, Member{Name: "two", Zone: "b"}
+	m := &Membership{Self: one}
+	m.Start()
+	n := New(store, m, Options{Copies: 1, PinFor: 400 * time.Millisecond, CallTimeout: time.Second, RepairBytes: 1 << 20, Dial: func(Member) Peer { return yes{} }})
+	n.started = time.Now().Add(-time.Hour)
+	both := &View{Members: []Member{one, two}, Known: true}
+	secret := []byte("0123456789abcdef")
+	var key []byte
+	for task := uint32(0); key == nil; task++ { // one that two owns, where both are
+		k := outputs.Key(&pb.Attempt{Job: "wk-1", Task: task, Try: 1, Team: "red", Machine: "m", Stint: 1, Run: outputs.RunOf(secret)})
+		if both.Owners(outputs.Route(k), 1)[0] == 1 {
+			key = k
+		}
+	}
+	if err := store.Put(t.Context(), &pb.Entry{Key: key, What: &pb.Entry_Seal{Seal: &pb.Seal{Cause: "exit", Digest: make([]byte, 32)}}}); err != nil {
+		t.Fatal(err)
+	}
+	out := n.Confirm(&pb.ConfirmRequest{Held: []*pb.Held{{Key: key, Summary: &pb.Summary{}}}})
+	if !out.Held[0] {
+		t.Fatal("an owner with all of it does not say so")
+	}
+	m.mu.Lock()
+	m.view = both // now it is the other's
+	m.mu.Unlock()
+	if n.dropSurplus(t.Context()); store.Held(key) == nil {
+		t.Fatal("dropped what it had just confirmed to another")
+	}
+	if out := n.Confirm(&pb.ConfirmRequest{Held: []*pb.Held{{Key: key, Summary: &pb.Summary{}}}}); out.Held[0] {
+		t.Error("confirmed without being an owner")
+	}
+	time.Sleep(500 * time.Millisecond)
+	if n.dropSurplus(t.Context()); store.Held(key) != nil {
+		t.Error("not dropped after the while")
+	}
+}
--- a/internal/outputs/daemon/stores_test.go
+++ b/internal/outputs/daemon/stores_test.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +21,7 @@
 	"reedtrack/internal/outputs"
 	"reedtrack/internal/outputs/access"
 	"reedtrack/internal/outputs/client"
+	"reedtrack/internal/outputs/disk"
 	pb "reedtrack/internal/outputs/outputsv1"
 	"reedtrack/internal/outputs/outputsv1/outputsv1connect"
 	"reedtrack/internal/outputs/settings"
@@ -226,26 +229,33 @@
 	// Another content under the same numbers, well formed: only the seal's digest
 	// can tell.
 	y := w.writer(1, 1, "k")
-	forged := w.writer(1, 1, "k")
-	y.append(w.stores["s0"], 4)
+	if err := y.append(w.stores["s0"], 4); err != nil {
+		t.Fatal(err)
+	}
 	w.kill("s1")
-	y.append(w.stores["s0"], 4)
-	d := w.start("s1", "b")
+	if err := errors.Join(y.append(w.stores["s0"], 4), y.seal(w.stores["s0"], 0)); err != nil {
+		t.Fatal(err)
+	}
 	var list []*pb.Record
 	for i := range uint64(4) {
-		r := forged.record(4 + i)
+		r := y.record(4 + i)
 		r.Data = []byte("forged\n")
 		list = append(list, r)
 	}
+	forger, err := disk.Open(disk.Options{Dir: filepath.Join(w.dir, "s1")})
+	if err != nil {
+		t.Fatal(err)
+	}
 	key := outputs.Key(y.attempt)
-	d.Node.Store().Put(context.Background(), &pb.Entry{Key: key, What: &pb.Entry_Block{Block: outputs.Pack(list, false)}})
-	w.members(2)
-	if err := y.seal(w.stores["s0"], 0); err != nil {
+	if err := forger.Put(context.Background(), &pb.Entry{Key: key, What: &pb.Entry_Block{Block: outputs.Pack(list, false)}}); err != nil {
 		t.Fatal(err)
 	}
-	w.eventually("sealed there", func() bool { h := d.Node.Store().Held(key); return h != nil && h.Complete })
+	forger.Close()
+	d := w.start("s1", "b")
+	w.members(2)
+	w.eventually("sealed there", func() bool { return y.whole() == 2 })
 	if err := y.read(d); err == nil {
-		t.Skip("the other copy came first")
+		t.Fatal("the forged content counts as intact")
 	}
 	d.Node.Store().Flush()
 	if err := d.Node.Scrub(context.Background()); err != nil {
@@ -254,6 +264,98 @@
 	w.eventually("the right content", func() bool { return y.whole() == 2 && y.read(d) == nil })
 }
 
+// eio is a file layer whose segments can't be read any more.
+type eio struct {
+	disk.FS
+	broken *atomic.Bool
+}
+
+type eioFile struct {
+	disk.File
+	broken *atomic.Bool
+}
+
+func (e eio) Create(name string) (disk.File, error) {
+	f, err := e.FS.Create(name)
+	return eioFile{f, e.broken}, err
+}
+
+func (f eioFile) ReadAt(b []byte, at int64) (int, error) {
+	if f.broken.Load() {
+		return 0, syscall.EIO
+	}
+	return f.File.ReadAt(b, at)
+}
+
+// A disk that can't be read, in a store that is asked: the reader gets it from the
+// other copy.
+func TestUnreadableDisk(t *testing.T) {
+	w := newWorld(t, func(o *settings.Outputs) { o.RepairEvery = time.Hour })
+	broken := new(atomic.Bool)
+	w.change = func(c *Config) {
+		if c.Name == "s0" {
+			c.FS = eio{disk.OS(), broken}
+		}
+	}
+	w.start("s0", "a")
+	w.start("s1", "b")
+	w.members(2)
+	x, y := w.writer(0, 1, "k"), w.writer(1, 1, "k")
+	if err := errors.Join(x.append(w.stores["s0"], 3), x.append(w.stores["s0"], 3), x.seal(w.stores["s0"], 0), y.append(w.stores["s0"], 3)); err != nil {
+		t.Fatal(err)
+	}
+	broken.Store(true)
+	for _, z := range []*writer{x, y} {
+		if err := z.read(w.stores["s0"]); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// A reader of an open attempt at a store that is cut off from the others, and has
+// only the beginning, waits whether they come back, and says who is away if not.
+func TestCutOffReader(t *testing.T) {
+	w := newWorld(t, func(o *settings.Outputs) { o.RepairEvery = time.Hour })
+	for i, n := range []string{"s0", "s1", "s2"} {
+		w.start(n, fmt.Sprint(i))
+	}
+	w.members(3)
+	x := w.writer(0, 1, "k")
+	owners := x.owners()
+	first := w.stores[owners[0]]
+	cut := func(yes bool, but string) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for n, d := range w.stores {
+			w.cut[strings.TrimPrefix(d.URL, "http://")] = yes && n != but
+		}
+	}
+	if err := x.append(w.stores[owners[1]], 3); err != nil {
+		t.Fatal(err)
+	}
+	w.mu.Lock()
+	w.cut[strings.TrimPrefix(first.URL, "http://")] = true
+	w.mu.Unlock()
+	if err := x.append(w.stores[owners[1]], 3); err != nil || x.fewest != 2 {
+		t.Fatal(x.fewest, err)
+	}
+	cut(true, owners[0])
+	time.AfterFunc(700*time.Millisecond, func() { cut(false, "") })
+	if err := x.read(first); err != nil {
+		t.Error(err)
+	}
+	cut(true, owners[0])
+	s, _ := client.Dial([]string{first.URL}, "", "")
+	var away []string
+	err := s.Read(context.Background(), &pb.ReadRequest{Attempt: x.attempt}, func(m *pb.ReadResponse) error {
+		away = append(away, m.Unreachable...)
+		return nil
+	})
+	if err != nil || len(away) != 2 {
+		t.Errorf("away %v, %v", away, err)
+	}
+}
+
 // Without the state service the stores known last go on, also after a restart of
 // one of them; who was never heard of stays outside.
 func TestStateServiceDown(t *testing.T) {
@@ -378,6 +480,24 @@
 	if err := x.read(w.any()); connect.CodeOf(errors.Unwrap(err)) != connect.CodeNotFound {
 		t.Errorf("read: %v", err)
 	}
+	// A store that is to keep less does not get back from the other what it has
+	// dropped.
+	w.stop("s1")
+	w.change = func(c *Config) { c.Settings.Keep = []settings.Keep{{For: time.Hour}} }
+	w.start("s1", "b")
+	w.members(2)
+	z := w.writer(2, 1, "k")
+	if err := errors.Join(z.append(w.any(), 3), z.seal(w.any(), 0)); err != nil {
+		t.Fatal(err)
+	}
+	here := func() bool { return w.stores["s0"].Node.Store().Held(outputs.Key(z.attempt)) != nil }
+	w.eventually("gone here", func() bool { return !here() })
+	for range 20 {
+		time.Sleep(50 * time.Millisecond)
+		if here() || w.stores["s1"].Node.Store().Held(outputs.Key(z.attempt)) == nil {
+			t.Fatal("came back from the other, or went there too")
+		}
+	}
 }
 
 // A full store refuses plainly and with a time to come back, goes on reading, and
--- a/internal/outputs/disk/fs.go
+++ b/internal/outputs/disk/fs.go
@@ -36,6 +36,9 @@
 	Transact(f func() error) error
 }
 
+// OS is the system's file layer.
+func OS() FS { return osFS{} }
+
 type osFS struct{}
 
 type osFile struct{ *os.File }
--- a/internal/outputs/disk/segment.go
+++ b/internal/outputs/disk/segment.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 
 	"google.golang.org/protobuf/proto"
 
@@ -92,7 +93,8 @@
 func (s *segment) read(p *pb.Place) (*pb.Entry, error) {
 	buf := make([]byte, p.Length)
 	if _, err := s.file.ReadAt(buf, int64(p.Offset)); err != nil {
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		// A sector that can't be read is as bad as one with other content.
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.EIO) {
 			return nil, ErrDamaged
 		}
 		return nil, err
