--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -99,6 +99,8 @@
 		`<reedtrack><idle-boots unit="s">1</idle-boots></reedtrack>`:    "unknown attribute",
 		"<reedtrack><fill-machines>0</fill-machines></reedtrack>":       "from 1 to 750, what a record",
 		"<reedtrack><status-listen>nowhere</status-listen></reedtrack>": "address",
+		"<reedtrack><outputs>\n<copy>2</copy></outputs></reedtrack>":    "outputs/copy: unknown element on line 2",
+		"<reedtrack><outputs><copies>9</copies></outputs></reedtrack>":  "outputs/copies: must be from 1 to 7",
 	} {
 		if _, err := s.ParseOperator("op.xml", []byte(xml)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v, want %q", xml, err, want)
@@ -135,3 +137,19 @@
 		}
 	}
 }
+
+// The file that switches task outputs on is one that controllers and stores take.
+func TestDeployedOutputs(t *testing.T) {
+	const file = "../../deploy/outputs.xml"
+	s, err := Parse("site.toml", []byte(site))
+	if err != nil {
+		t.Fatal(err)
+	}
+	op, err := s.LoadOperator(file)
+	if err != nil || op.Outputs.Page == "" || op.A != 2 {
+		t.Errorf("%+v, %v", op.Outputs, err)
+	}
+	if o, err := LoadOutputs(file); err != nil || o.Copies != 2 {
+		t.Errorf("%+v, %v", o, err)
+	}
+}
--- a/internal/outputs/capture/capture_test.go
+++ b/internal/outputs/capture/capture_test.go
@@ -194,7 +194,9 @@
 	p := newPlace(t)
 	p.up()
 	spool := t.TempDir()
+	back := make(chan struct{})
 	go func() {
+		defer close(back)
 		time.Sleep(300 * time.Millisecond)
 		p.down()
 		time.Sleep(300 * time.Millisecond)
@@ -208,6 +210,7 @@
 		}
 	}
 	run(3, "host-1", "for i in 1 2 3 4 5 6 7 8 9 10; do echo first $i; sleep 0.1; done; exit 1")
+	<-back
 	run(4, "host-2", "echo second")
 	run(3, "host-1", "echo first again") // it resumed, and was started anew
 	list := p.attempts()
