--- /dev/null
+++ b/internal/outputs/cluster/bench_test.go
@@ -0,0 +1,43 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+
+	"reedtrack/internal/outputs"
+	"reedtrack/internal/outputs/disk"
+	pb "reedtrack/internal/outputs/outputsv1"
+)
+
+// What it costs a member to sum up 100,000 attempts for all others.
+func BenchmarkSums(b *testing.B) {
+	store, err := disk.Open(disk.Options{Dir: b.TempDir()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer store.Close()
+	var batch []*pb.Entry
+	for i := range uint32(100000) {
+		key := outputs.Key(&pb.Attempt{Job: "wk-1", Task: i, Try: 1, Team: "red", Machine: "host-000017", Stint: 1, Run: outputs.RunOf([]byte("0123456789abcdef"))})
+		batch = append(batch, &pb.Entry{Key: key, What: &pb.Entry_Seal{Seal: &pb.Seal{Cause: "exit", Digest: make([]byte, 32)}}})
+		if len(batch) == 1000 {
+			if err := store.Put(b.Context(), batch...); err != nil {
+				b.Fatal(err)
+			}
+			batch = nil
+		}
+	}
+	store.Flush()
+	for _, n := range []int{2, 5, 20} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			v := members(n, 2)
+			m := &Membership{Self: v.Members[0]}
+			m.Start()
+			node := New(store, m, Options{Copies: 2, RepairBytes: 1})
+			for b.Loop() {
+				clear(node.sums)
+				node.sumsFor(v, 2)
+			}
+		})
+	}
+}
--- a/internal/outputs/disk/recover.go
+++ b/internal/outputs/disk/recover.go
@@ -75,7 +75,7 @@
 		if err != nil {
 			slog.Error("segment without a head", "segment", path)
 		}
-		g := &segInfo{segment: &segment{id: id, file: f, name: path, fs: s.fs}, size: uint64(size), compacted: isCompacted, base: base, dirty: true, ended: started}
+		g := &segInfo{segment: &segment{id: id, file: f, name: path, fs: s.fs}, size: uint64(size), compacted: isCompacted, base: base, dirty: true, ended: s.opt.Now()}
 		if st := known[id]; st != nil && !rebuild {
 			g.live = st.Live
 		}
