--- a/cmd/outputs/main.go
+++ b/cmd/outputs/main.go
@@ -117,6 +117,7 @@
 	fmt.Printf("disk               segments of %s, at most %s, %s of the disk left free\n", mb(uint64(o.SegmentBytes)), mb(o.MostBytes), mb(o.ReserveBytes))
 	fmt.Printf("attempt            output %s, %s a second; artefacts %s\n", mb(o.AttemptBytes), mb(o.AttemptRate), mb(o.ArtefactBytes))
 	fmt.Printf("team               on one store %s, through one store %s a second\n", mb(o.TeamBytes), mb(o.TeamRate))
+	fmt.Printf("all teams          through one store %s a second\n", mb(o.StoreRate))
 	for _, k := range o.Keep {
 		what := "otherwise"
 		switch {
--- a/internal/outputs/capture/capture_test.go
+++ b/internal/outputs/capture/capture_test.go
@@ -324,6 +324,12 @@
 	var seen []time.Duration
 	text := ""
 	start := time.Now()
+	back := make(chan struct{})
+	time.AfterFunc(300*time.Millisecond, func() { // the connection is lost meanwhile
+		defer close(back)
+		p.down()
+		p.up()
+	})
 	err := p.stores().Read(context.Background(), &pb.ReadRequest{Attempt: a.Attempt, Follow: true}, func(m *pb.ReadResponse) error {
 		for _, r := range m.Records {
 			text += string(r.Data)
@@ -337,6 +343,7 @@
 	if seen[len(seen)-1]-seen[0] < 300*time.Millisecond {
 		t.Errorf("came all at once: %v", seen)
 	}
+	<-back
 	if err := <-done; err != nil {
 		t.Error(err)
 	}
--- a/internal/outputs/cluster/limits.go
+++ b/internal/outputs/cluster/limits.go
@@ -15,6 +15,7 @@
 	ArtefactBytes uint64 // of one attempt's artefacts
 	TeamRate      uint64 // bytes a second through one member
 	TeamBytes     uint64 // on one member's disk
+	StoreRate     uint64 // bytes a second through one member, of all teams
 }
 
 // LimitError is a refusal that may be lifted after a time; 0: not by waiting.
@@ -66,7 +67,7 @@
 	r := u.rate.ReserveN(now, min(n, u.rate.Burst()))
 	if d := r.DelayFrom(now); d > 0 {
 		r.CancelAt(now)
-		return &LimitError{fmt.Sprintf("%s sends more than %d KiB a second", what, perS>>10), d}
+		return &LimitError{fmt.Sprintf("%s: more than %d KiB a second", what, perS>>10), d}
 	}
 	return nil
 }
@@ -91,5 +92,8 @@
 	if err := l.take("a/"+string(key), "the attempt", 2*l.limits.AttemptRate, bytes, now); err != nil {
 		return err
 	}
-	return l.take("t/"+team, "team "+team, l.limits.TeamRate, bytes, now)
+	if err := l.take("t/"+team, "team "+team, l.limits.TeamRate, bytes, now); err != nil {
+		return err
+	}
+	return l.take("s", "all teams together", l.limits.StoreRate, bytes, now)
 }
--- a/internal/outputs/cluster/repair.go
+++ b/internal/outputs/cluster/repair.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +64,7 @@
 	self := v.Index(n.members.Self.Name)
 	n.store.Each(func(key []byte, print uint64, _ *pb.AttemptState) bool {
 		owners := v.Owners(outputs.Route(key), copies)
-		mine := contains(owners, self)
+		mine := slices.Contains(owners, self)
 		for _, o := range owners {
 			if o == self {
 				continue
@@ -92,15 +93,6 @@
 
 func bucketOf(key []byte) int { return int(xxhash.Sum64(key) % Buckets) }
 
-func contains(list []int, i int) bool {
-	for _, x := range list {
-		if x == i {
-			return true
-		}
-	}
-	return false
-}
-
 // Digests answers another member: what this one holds that it should, summed up.
 func (n *Node) Digests(q *pb.DigestsRequest) *pb.DigestsResponse {
 	s := n.sumsFor(viewOf(q.Members), int(q.Copies))
@@ -127,7 +119,7 @@
 			return true
 		}
 		owners := v.Owners(outputs.Route(key), int(q.Copies))
-		if !contains(owners, owner) || contains(owners, self) == q.Surplus {
+		if !slices.Contains(owners, owner) || slices.Contains(owners, self) == q.Surplus {
 			return true
 		}
 		if len(keys) == mostListed {
@@ -416,14 +408,12 @@
 		return true
 	})
 	left := len(keys)
-	for len(keys) > 0 && len(v.Members) >= n.opt.Copies {
-		page := keys[:min(mostListed, len(keys))]
-		keys = keys[len(page):]
+	for page := range slices.Chunk(keys, mostListed) {
 		whole := map[string]int{}
 		for _, m := range v.Members {
 			held := n.heldBy(ctx, m, page)
 			for _, h := range held {
-				if h.Complete && contains(v.Owners(outputs.Route(h.Key), n.opt.Copies), v.Index(m.Name)) {
+				if h.Complete && slices.Contains(v.Owners(outputs.Route(h.Key), n.opt.Copies), v.Index(m.Name)) {
 					whole[string(h.Key)]++
 				}
 			}
--- a/internal/outputs/cluster/surplus.go
+++ b/internal/outputs/cluster/surplus.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -35,7 +36,7 @@
 	now := time.Now()
 	var list [][]byte
 	n.store.Each(func(key []byte, _ uint64, st *pb.AttemptState) bool {
-		if contains(v.Owners(outputs.Route(key), n.opt.Copies), self) {
+		if slices.Contains(v.Owners(outputs.Route(key), n.opt.Copies), self) {
 			return true
 		}
 		if !st.Sealed && now.UnixNano()-st.TouchedNs < int64(quiet) {
@@ -45,10 +46,10 @@
 		return true
 	})
 	dropped := 0
-	for len(list) > 0 && ctx.Err() == nil {
-		page := list[:min(mostListed, len(list))]
-		list = list[len(page):]
-		dropped += n.dropConfirmed(ctx, v, page)
+	for page := range slices.Chunk(list, mostListed) {
+		if ctx.Err() == nil {
+			dropped += n.dropConfirmed(ctx, v, page)
+		}
 	}
 	if dropped > 0 {
 		slog.Info("dropped copies that their owners have", "attempts", dropped)
@@ -64,7 +65,7 @@
 		}
 		q := new(pb.ConfirmRequest)
 		for _, k := range keys {
-			if contains(v.Owners(outputs.Route(k), n.opt.Copies), i) {
+			if slices.Contains(v.Owners(outputs.Route(k), n.opt.Copies), i) {
 				if h := n.store.Held(k); h != nil {
 					q.Held = append(q.Held, h)
 				}
@@ -118,7 +119,7 @@
 	n.pinMu.Lock()
 	defer n.pinMu.Unlock()
 	for i, theirs := range q.Held {
-		if !contains(v.Owners(outputs.Route(theirs.Key), n.opt.Copies), self) || !covers(n.store.Held(theirs.Key), theirs) {
+		if !slices.Contains(v.Owners(outputs.Route(theirs.Key), n.opt.Copies), self) || !covers(n.store.Held(theirs.Key), theirs) {
 			continue
 		}
 		n.pins[string(theirs.Key)] = now.Add(n.opt.PinFor)
@@ -179,9 +180,7 @@
 		return true
 	})
 	dropped := 0
-	for len(list) > 0 && ctx.Err() == nil {
-		page := list[:min(mostListed, len(list))]
-		list = list[len(page):]
+	for page := range slices.Chunk(list, mostListed) {
 		if err := n.store.Drop(ctx, "retention", page...); err != nil {
 			slog.Warn("outputs past their time not dropped", "err", err)
 			break
--- a/internal/outputs/cluster/view_test.go
+++ b/internal/outputs/cluster/view_test.go
@@ -157,7 +157,7 @@
 		n := 1 + rnd.IntN(200<<10)
 		if err := l.take("t/red", "team red", 1<<20, n, now); err == nil {
 			taken += n
-		} else if e := err.(*LimitError); e.After <= 0 || e.After > time.Second || e.Reason != "team red sends more than 1024 KiB a second" {
+		} else if e := err.(*LimitError); e.After <= 0 || e.After > time.Second || e.Reason != "team red: more than 1024 KiB a second" {
 			t.Fatal(e.After, e)
 		}
 		now = now.Add(10 * time.Millisecond)
--- a/internal/outputs/daemon/daemon.go
+++ b/internal/outputs/daemon/daemon.go
@@ -149,7 +149,7 @@
 		Copies: o.Copies, CallTimeout: or(c.CallTimeout, 3*time.Second), RepairEvery: o.RepairEvery, RepairAfter: o.RepairAfter,
 		RepairBytes: int(o.RepairRate), ScrubBytes: int(o.ScrubRate), ScrubEvery: o.ScrubEvery, PinFor: or(c.PinFor, time.Minute),
 		Housekeeping: or(c.Housekeeping, 30*time.Second), Keep: o.KeepFor,
-		Limits: cluster.Limits{AttemptBytes: o.AttemptBytes, AttemptRate: o.AttemptRate, ArtefactBytes: o.ArtefactBytes, TeamRate: o.TeamRate, TeamBytes: o.TeamBytes},
+		Limits: cluster.Limits{AttemptBytes: o.AttemptBytes, AttemptRate: o.AttemptRate, ArtefactBytes: o.ArtefactBytes, TeamRate: o.TeamRate, TeamBytes: o.TeamBytes, StoreRate: o.StoreRate},
 		Dial: func(m cluster.Member) cluster.Peer {
 			return outputsv1connect.NewPeerServiceClient(calls, m.Address, connect.WithInterceptors(append(interceptors, client.Bearer(peerToken))...),
 				connect.WithReadMaxBytes(16<<20))
--- a/internal/outputs/settings/settings.go
+++ b/internal/outputs/settings/settings.go
@@ -27,6 +27,7 @@
 	ArtefactBytes uint64
 	TeamBytes     uint64 // on one store's disk; 0: no bound
 	TeamRate      uint64 // bytes a second through one store; 0: no bound
+	StoreRate     uint64 // bytes a second through one store, of all teams; 0: no bound
 	RepairEvery   time.Duration
 	RepairAfter   time.Duration
 	RepairRate    uint64
@@ -62,6 +63,7 @@
 	Segment   *float64  `xml:"disk>segment-mb"`
 	Most      *float64  `xml:"disk>most-mb"`
 	Reserve   *float64  `xml:"disk>reserve-mb"`
+	StoreKB   *float64  `xml:"disk>kb-per-s"`
 	AttemptMB *float64  `xml:"attempt>mb"`
 	AttemptKB *float64  `xml:"attempt>kb-per-s"`
 	Artefact  *float64  `xml:"attempt>artefact-mb"`
@@ -94,7 +96,7 @@
 }
 
 // Names are the elements' paths below <outputs>, for who refuses unknown ones.
-var Names = []string{"page", "copies", "lease-s", "state-part", "disk", "disk/segment-mb", "disk/most-mb", "disk/reserve-mb",
+var Names = []string{"page", "copies", "lease-s", "state-part", "disk", "disk/segment-mb", "disk/most-mb", "disk/reserve-mb", "disk/kb-per-s",
 	"attempt", "attempt/mb", "attempt/kb-per-s", "attempt/artefact-mb", "team", "team/mb", "team/kb-per-s",
 	"repair", "repair/every-s", "repair/after-s", "repair/mb-per-s", "scrub", "scrub/every-h", "scrub/mb-per-s",
 	"keep", "keep/team", "keep/class", "keep/days", "tls", "tls/cert", "tls/key", "tls/ca",
@@ -145,6 +147,7 @@
 	number("disk/segment-mb", x.Segment, 1, 1024, func(v float64) { o.SegmentBytes = int64(v * mb) })
 	number("disk/most-mb", x.Most, 0, 1e9, size(&o.MostBytes, mb))
 	number("disk/reserve-mb", x.Reserve, 16, 1e6, size(&o.ReserveBytes, mb))
+	number("disk/kb-per-s", x.StoreKB, 0, 1e9, size(&o.StoreRate, kb))
 	number("attempt/mb", x.AttemptMB, 1, 1e6, size(&o.AttemptBytes, mb))
 	number("attempt/kb-per-s", x.AttemptKB, 1, 1e7, size(&o.AttemptRate, kb))
 	number("attempt/artefact-mb", x.Artefact, 0, 1e6, size(&o.ArtefactBytes, mb))
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -143,3 +143,19 @@
 	dial()
 	<-got
 }
+
+type view Overview
+
+func (v view) Overview() Overview { return Overview(v) }
+
+// The operators' page links jobs to their outputs where it is told where those are.
+func TestPageLinksToOutputs(t *testing.T) {
+	jobs := []JobView{{ID: "wk-000007"}}
+	const link = `<a href="http://stores:8110/jobs/wk-000007">wk-000007</a>`
+	if page := ask(NewOperatorServer(view{Jobs: jobs, Outputs: "http://stores:8110"}).Handler, "GET", "/", "").Body.String(); !strings.Contains(page, link) {
+		t.Error(page)
+	}
+	if page := ask(NewOperatorServer(view{Jobs: jobs}).Handler, "GET", "/", "").Body.String(); strings.Contains(page, "<a href=\"/jobs") || !strings.Contains(page, "<td>wk-000007</td>") {
+		t.Error(page)
+	}
+}
