Keep a chunk whose attempt is not known; bound what recovery collects; clearer refusals

A chunk that reached a store alone which had not heard of its attempt was refused for good, since the note that too few hold it found none. Recovery collected files without a bound. Plain HTTP to a store with TLS says so, and a browser without a token is asked for one.

--- a/cmd/capture/main.go
+++ b/cmd/capture/main.go
@@ -146,7 +146,7 @@
 	n := 0
 	err := capture.Recover(ctx, c.Recover, func(*capture.About) (*client.Stores, error) {
 		return client.Dial(c.To, token, c.CA, interceptors...)
-	}, c.SpoolMB<<20, func(name string, err error) {
+	}, c.SpoolMB<<20, c.ArtefactMB<<20, func(name string, err error) {
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 			return
--- a/internal/outputs/capture/capture_test.go
+++ b/internal/outputs/capture/capture_test.go
@@ -174,7 +174,7 @@
 	}
 	p.up()
 	said := 0
-	err = capture.Recover(context.Background(), spool, func(*capture.About) (*client.Stores, error) { return p.stores(), nil }, 64<<20, func(string, error) { said++ })
+	err = capture.Recover(context.Background(), spool, func(*capture.About) (*client.Stores, error) { return p.stores(), nil }, 64<<20, 1<<20, func(string, error) { said++ })
 	if err != nil || said != 1 {
 		t.Fatalf("%d, %v", said, err)
 	}
--- a/internal/outputs/capture/run.go
+++ b/internal/outputs/capture/run.go
@@ -206,7 +206,8 @@
 
 // Recover ships what captures that were killed have left in a directory of spools,
 // and says how it went with each. Spools on which a capture runs are passed over.
-func Recover(ctx context.Context, dir string, dial func(*About) (*client.Stores, error), spoolBytes int64, say func(name string, err error)) error {
+// Of files that were not collected yet at most so many bytes are.
+func Recover(ctx context.Context, dir string, dial func(*About) (*client.Stores, error), spoolBytes int64, artefactBytes uint64, say func(name string, err error)) error {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return err
@@ -217,7 +218,7 @@
 		if _, err := os.Stat(filepath.Join(path, aboutName)); !e.IsDir() || err != nil {
 			continue
 		}
-		err := recoverOne(ctx, path, dial, spoolBytes)
+		err := recoverOne(ctx, path, dial, spoolBytes, artefactBytes)
 		if errors.Is(err, spool.ErrInUse) {
 			continue
 		}
@@ -230,7 +231,7 @@
 	return failed
 }
 
-func recoverOne(ctx context.Context, path string, dial func(*About) (*client.Stores, error), spoolBytes int64) error {
+func recoverOne(ctx context.Context, path string, dial func(*About) (*client.Stores, error), spoolBytes int64, artefactBytes uint64) error {
 	a := new(About)
 	if err := readJSON(filepath.Join(path, aboutName), a); err != nil {
 		return err
@@ -254,7 +255,7 @@
 		// Killed with its task, or the machine was: how the task ended was not
 		// seen, and its files are kept as they are now.
 		e = &Ended{AtNs: time.Now().UnixNano(), Exit: -1, Cause: "lost"}
-		e.Files, e.Left = collect(a.Dir, path, a.Keep, 1<<40)
+		e.Files, e.Left = collect(a.Dir, path, a.Keep, artefactBytes)
 		if err := writeJSON(filepath.Join(path, endedName), e); err != nil {
 			return err
 		}
--- a/internal/outputs/client/dial.go
+++ b/internal/outputs/client/dial.go
@@ -136,7 +136,11 @@
 func (s *Stores) Do(ctx context.Context, f func(ctx context.Context, addr string) error) error {
 	wait, begun := time.Duration(0), time.Now()
 	for try := 0; ; try++ {
-		err := f(ctx, s.current())
+		addr := s.current()
+		err := f(ctx, addr)
+		if connect.CodeOf(err) == connect.CodeInternal && strings.HasPrefix(addr, "http://") && strings.Contains(err.Error(), "400 Bad Request") {
+			err = connect.NewError(connect.CodeUnavailable, fmt.Errorf("%s does not speak plain HTTP; use https://, with a CA file if need be", addr))
+		}
 		if err == nil || Final(err) {
 			return err
 		}
--- a/internal/outputs/cluster/repair.go
+++ b/internal/outputs/cluster/repair.go
@@ -284,7 +284,7 @@
 	if mine.Complete {
 		return false
 	}
-	if h.Summary.Sealed && !mine.Summary.Sealed || h.Complete {
+	if h.Summary.Sealed && !mine.Summary.Sealed || h.Complete || h.Summary.Meta != nil && mine.Summary.Meta == nil {
 		return true
 	}
 	for _, x := range h.Spans {
--- a/internal/outputs/daemon/stores_test.go
+++ b/internal/outputs/daemon/stores_test.go
@@ -176,6 +176,12 @@
 		}
 	}
 	before := repaired(t)
+	// A chunk that comes to a store alone that has not heard of its attempt yet.
+	c := outputs.PackChunk([]byte("a file"))
+	y := w.writer(90, 1, "k")
+	if _, err := y.client(w.stores["s0"]).PutChunk(context.Background(), connect.NewRequest(&pb.PutChunkRequest{Attempt: y.attempt, Secret: y.secret, Chunk: c})); err != nil {
+		t.Fatal(err)
+	}
 	d := w.start("s1", "b")
 	w.members(2)
 	w.eventually("repaired", func() bool {
@@ -183,8 +189,8 @@
 		return writers[9].whole() == 2
 	})
 	d.Node.Repair(context.Background(), d.Node.Members().View())
-	if n := repaired(t) - before; n != 5 {
-		t.Errorf("copied something of %g attempts, 5 had changed", n)
+	if n := repaired(t) - before; n != 6 { // and the one of the chunk
+		t.Errorf("copied something of %g attempts, 6 had changed", n)
 	}
 	for _, x := range writers {
 		if err := x.read(d); err != nil {
@@ -626,6 +632,10 @@
 			t.Errorf("%q writes: %v, not %v", token, got, want)
 		}
 	}
+	// A browser is asked for a token.
+	if r, err := http.Get(d.URL + "/jobs/wk-000042"); err != nil || r.StatusCode != 401 || !strings.HasPrefix(r.Header.Get("WWW-Authenticate"), "Basic") {
+		t.Errorf("without a token: %v, %v", r, err)
+	}
 	// Of the same team, but not the writer.
 	thief := w.writer(0, 2, "k")
 	thief.token, thief.secret = secret["red"], []byte(strings.Repeat("z", 16))
--- a/internal/outputs/disk/commit.go
+++ b/internal/outputs/disk/commit.go
@@ -339,10 +339,6 @@
 		if a == nil {
 			return nil, nil
 		}
-	case *pb.Entry_Thin:
-		if a == nil {
-			return nil, ErrNone
-		}
 	}
 	return one(e), nil
 }
--- a/internal/outputs/serve/server.go
+++ b/internal/outputs/serve/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -71,7 +72,7 @@
 		c, err := tokens.Caller(q.Header)
 		if err != nil {
 			w.Header().Set("WWW-Authenticate", `Basic realm="reedtrack outputs", charset="UTF-8"`)
-			if errs.IsSupported(q) {
+			if strings.HasPrefix(q.URL.Path, "/reedtrack.outputs.") {
 				errs.Write(w, q, connect.NewError(connect.CodeUnauthenticated, err))
 			} else {
 				http.Error(w, err.Error(), http.StatusUnauthorized)
