--- /dev/null
+++ b/internal/outputs/fuzz_test.go
@@ -0,0 +1,39 @@
+package outputs
+
+import (
+	"bytes"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "reedtrack/internal/outputs/outputsv1"
+)
+
+// What comes from the network as a block or as a key is refused, or is what it
+// says; nothing in it makes a store panic.
+func FuzzUnpack(f *testing.F) {
+	good := Pack([]*pb.Record{{Seq: 4, AtNs: 9, Stream: 1, Data: []byte("a\n")}, {Seq: 5, Stream: 2, Data: []byte("b")}}, false)
+	raw, _ := proto.Marshal(good)
+	key := Key(&pb.Attempt{Job: "wk-1", Team: "red", Machine: "m", Run: RunOf([]byte("0123456789abcdef"))})
+	f.Add(raw, key)
+	f.Add(raw[:len(raw)/2], key[:10])
+	f.Add([]byte{}, []byte{0, 0, 0})
+	f.Fuzz(func(t *testing.T, raw, key []byte) {
+		b := new(pb.Block)
+		if proto.Unmarshal(raw, b) == nil {
+			if records, err := Unpack(b); err == nil {
+				if len(records) != int(b.Count) || records[0].Seq != b.First {
+					t.Fatalf("%d records from %d of a block of %d from %d", len(records), records[0].Seq, b.Count, b.First)
+				}
+				again, err := Unpack(Pack(records, true))
+				if err != nil || len(again) != len(records) || Tally(again).StdoutBytes != Tally(records).StdoutBytes {
+					t.Fatalf("packed again: %v", err)
+				}
+			}
+		}
+		if a, err := ParseKey(key); err == nil && !bytes.Equal(Key(a), key) {
+			t.Fatalf("key %q is read as %v", key, a)
+		}
+		Route(key)
+	})
+}
