--- a/internal/outputs/cluster/gather.go
+++ b/internal/outputs/cluster/gather.go
@@ -180,6 +180,9 @@
 		}
 	}
 	slices.Sort(keys)
+	if q.Which == pb.Which_WHICH_OPEN && len(keys) > 0 {
+		n.sealedElsewhere(ctx, keys[:min(limit, len(keys))], byKey)
+	}
 	out := &pb.ListResponse{Unreachable: away}
 	for i, k := range keys {
 		if i == limit {
@@ -187,7 +190,6 @@
 		}
 		h := together(byKey[k])
 		out.Next = []byte(k)
-		// One member may not have heard of the seal yet that another has.
 		if q.Which == pb.Which_WHICH_OPEN && h.Summary.Sealed {
 			continue
 		}
@@ -199,6 +201,26 @@
 	return out, nil
 }
 
+// sealedElsewhere adds what all members hold of some attempts: one that is open on
+// a member that has not heard of the seal yet may be sealed on another, which does
+// not list it among the open.
+func (n *Node) sealedElsewhere(ctx context.Context, keys []string, byKey map[string][]*pb.Held) {
+	q := new(pb.HeldRequest)
+	for _, k := range keys {
+		q.Keys = append(q.Keys, []byte(k))
+	}
+	var mu sync.Mutex
+	n.ask(ctx, func(ctx context.Context, m Member, p Peer) error {
+		held := n.heldBy(ctx, m, q.Keys)
+		mu.Lock()
+		defer mu.Unlock()
+		for _, h := range held {
+			byKey[string(h.Key)] = append(byKey[string(h.Key)], h)
+		}
+		return nil
+	})
+}
+
 // Scan lists what this member holds.
 func (n *Node) Scan(q *pb.ScanRequest) *pb.ScanResponse {
 	limit := int(min(max(q.Limit, 1), 1000))
--- a/internal/outputs/daemon/stores_test.go
+++ b/internal/outputs/daemon/stores_test.go
@@ -182,8 +182,19 @@
 	if _, err := y.client(w.stores["s0"]).PutChunk(context.Background(), connect.NewRequest(&pb.PutChunkRequest{Attempt: y.attempt, Secret: y.secret, Chunk: c})); err != nil {
 		t.Fatal(err)
 	}
+	host := strings.TrimPrefix(w.stores["s0"].URL, "http://")
+	w.mu.Lock()
+	w.cut[host] = true // it can't copy yet
+	w.mu.Unlock()
 	d := w.start("s1", "b")
 	w.members(2)
+	// Open there, sealed here: it is sealed.
+	if out, err := w.list(w.stores["s0"], "", &pb.ListRequest{Job: "wk-000042", Which: pb.Which_WHICH_OPEN, Limit: 1000}); err != nil || len(out.Attempts) != 21 {
+		t.Errorf("%d attempts are listed as open, not 20 and the chunk's: %v", len(out.GetAttempts()), err)
+	}
+	w.mu.Lock()
+	w.cut[host] = false
+	w.mu.Unlock()
 	w.eventually("repaired", func() bool {
 		d.Node.Repair(context.Background(), d.Node.Members().View())
 		return writers[9].whole() == 2
