Test late writes and reading since a time; measure what membership costs

An attempt that was given up writes on after the next has ended, beside a second writer of its own try: all are whole.

--- a/internal/outputs/capture/capture_test.go
+++ b/internal/outputs/capture/capture_test.go
@@ -347,7 +347,31 @@
 	if err := <-done; err != nil {
 		t.Error(err)
 	}
-	// The last lines, and only one stream.
+	// What was written since a time, by the writer's clock.
+	var third int64
+	got := ""
+	read := func(q *pb.ReadRequest) {
+		got = ""
+		q.Attempt = a.Attempt
+		if err := p.stores().Read(context.Background(), q, func(m *pb.ReadResponse) error {
+			for _, r := range m.Records {
+				if got += string(r.Data); string(r.Data) == "3\n" {
+					third = r.AtNs
+				}
+			}
+			return nil
+		}); err != nil {
+			t.Error(err)
+		}
+	}
+	read(&pb.ReadRequest{})
+	if read(&pb.ReadRequest{SinceNs: third}); got != "3\n4\n5\n" {
+		t.Errorf("since the third: %q", got)
+	}
+	if read(&pb.ReadRequest{SinceNs: time.Now().UnixNano()}); got != "" {
+		t.Errorf("since now: %q", got)
+	}
+	// The last lines.
 	for tail, want := range map[uint64]string{1: "5\n", 2: "4\n5\n", 99: "1\n2\n3\n4\n5\n"} {
 		got := ""
 		p.stores().Read(context.Background(), &pb.ReadRequest{Attempt: a.Attempt, TailLines: tail}, func(m *pb.ReadResponse) error {
--- a/internal/outputs/cluster/bench_test.go
+++ b/internal/outputs/cluster/bench_test.go
@@ -2,13 +2,39 @@
 
 import (
 	"fmt"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"reedtrack/internal/outputs"
 	"reedtrack/internal/outputs/disk"
 	pb "reedtrack/internal/outputs/outputsv1"
+	"reedtrack/internal/standin"
+	"reedtrack/internal/storage"
 )
 
+// What a store that does nothing asks of the state service in a second, at the
+// default lease, in a deployment of 250 requests a second.
+func BenchmarkMembership(b *testing.B) {
+	requests := new(atomic.Int64)
+	srv := httptest.NewServer(counter{standin.NewStore(), requests})
+	defer srv.Close()
+	const n, seconds = 4, 30
+	for b.Loop() {
+		for i := range n {
+			m := &Membership{Self: Member{Name: fmt.Sprint("s", i), Zone: "a", Address: "http://x", ID: fmt.Sprint(i)}, Life: 10 * time.Second,
+				State: storage.NewClient(srv.Listener.Addr().String(), 5, 1.2, 1), Rest: func(k int) time.Duration { return max(time.Second, storage.WatchRest(5, k)) }}
+			m.Start()
+			go m.Run(b.Context())
+		}
+		time.Sleep(5 * time.Second)
+		requests.Store(0)
+		time.Sleep(seconds * time.Second)
+		b.ReportMetric(float64(requests.Load())/seconds/n, "requests/s/store")
+	}
+}
+
 // What it costs a member to sum up 100,000 attempts for all others.
 func BenchmarkSums(b *testing.B) {
 	store, err := disk.Open(disk.Options{Dir: b.TempDir()})
--- a/internal/outputs/daemon/stores_test.go
+++ b/internal/outputs/daemon/stores_test.go
@@ -17,6 +17,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
 
 	"reedtrack/internal/outputs"
 	"reedtrack/internal/outputs/access"
@@ -103,6 +104,30 @@
 	t.Logf("%d requests refused", refused)
 }
 
+// An attempt that was given up writes on after the next one has ended, and from two
+// machines that both hold themselves for its writer: all are there, each whole.
+func TestLateWrites(t *testing.T) {
+	w := newWorld(t, nil)
+	w.start("s0", "a")
+	w.start("s1", "b")
+	w.members(2)
+	first, twin, second := w.writer(0, 1, "a"), w.writer(0, 1, "b"), w.writer(0, 2, "c")
+	twin.attempt.Machine = "host-2"
+	s0, s1 := w.stores["s0"], w.stores["s1"]
+	if err := errors.Join(first.append(s0, 3), twin.append(s1, 2), second.append(s1, 4), second.seal(s0, 0),
+		first.append(s1, 3), twin.append(s0, 5), twin.seal(s0, 1), first.append(s0, 1), first.seal(s1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []*writer{first, twin, second} {
+		if err := errors.Join(x.read(s0), x.read(s1)); err != nil || x.whole() != 2 {
+			t.Errorf("%d copies, %v", x.whole(), err)
+		}
+	}
+	if out, err := w.list(s1, "", &pb.ListRequest{Job: "wk-000042", Task: proto.Uint32(0)}); err != nil || len(out.Attempts) != 3 || out.Attempts[2].Attempt.Try != 2 {
+		t.Errorf("%v, %v", out, err)
+	}
+}
+
 // A member that is lost for good, with its disk, is made up for by the others, and
 // after that another may go away; so may one that is being copied to.
 func TestMemberLost(t *testing.T) {
