Refused writes cost no budget: a controller's writes could stand still for ever

Cause: a refused request reserved its part of the write budget and cancelled the reservation. The limiter gives back less than was taken when others came after it. With many ends of jobs tried at once, the debt grew faster than it was paid off, so the controller wrote nothing any more: a fault of the service, not of the test. Now what a request would have to wait is worked out first, and only what will be used is reserved.

TestRetention no longer depends on how fast the machine is.

--- a/internal/outputs/daemon/stores_test.go
+++ b/internal/outputs/daemon/stores_test.go
@@ -491,9 +491,7 @@
 
 // What is past its time goes from all stores and does not come back.
 func TestRetention(t *testing.T) {
-	w := newWorld(t, func(o *settings.Outputs) {
-		o.Keep = []settings.Keep{{For: time.Hour}, {Class: "c", For: 1500 * time.Millisecond}}
-	})
+	w := newWorld(t, func(o *settings.Outputs) { o.Keep = []settings.Keep{{For: time.Hour}} })
 	w.start("s0", "a")
 	w.start("s1", "b")
 	w.members(2)
@@ -504,6 +502,16 @@
 	if x.whole() != 2 {
 		t.Fatalf("%d copies", x.whole())
 	}
+	// Only now is the time made short: on a slow machine it was over before the
+	// copies had been counted.
+	w.change = func(c *Config) {
+		c.Settings.Keep = []settings.Keep{{For: time.Hour}, {Class: "c", For: 1500 * time.Millisecond}}
+	}
+	for name, zone := range map[string]string{"s0": "a", "s1": "b"} {
+		w.stop(name)
+		w.start(name, zone)
+	}
+	w.members(2)
 	gone := func() bool {
 		for _, d := range w.stores {
 			if d.Node.Store().Held(outputs.Key(x.attempt)) != nil || d.Node.Store().Held(outputs.Key(y.attempt)) != nil {
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -39,6 +40,7 @@
 	http     *transport.Client
 	watch    *transport.Client
 	renew    *transport.Client
+	taking   sync.Mutex // so that what is to be had is what is taken
 	requests *rate.Limiter
 	changes  *rate.Limiter
 	writes   float64 // of one part of the service's writes, see Lead
@@ -152,24 +154,13 @@
 }
 
 // budget takes what a request costs, if that is to be had within a time that
-// the caller can wait; otherwise it says so at once. What can't wait may take
-// writes ahead of time: users seldom come to all controllers alike, and the
-// parts of the others are mostly not used up. What can wait then has to.
+// the caller can wait; otherwise it takes nothing and says so at once. What
+// can't wait may take writes ahead of time: users seldom come to all
+// controllers alike, and the parts of the others are mostly not used up. What
+// can wait then has to.
 func (c *Client) budget(ctx context.Context, writes int, most time.Duration, ahead bool) error {
-	now := time.Now()
-	taken := []*rate.Reservation{c.requests.ReserveN(now, 1)}
-	wait := taken[0].DelayFrom(now)
-	if writes > 0 {
-		r := c.changes.ReserveN(now, min(writes, c.changes.Burst()))
-		taken = append(taken, r)
-		if d := r.DelayFrom(now); !ahead || d > mostAhead {
-			wait = max(wait, d)
-		}
-	}
-	if wait > most {
-		for _, r := range taken {
-			r.CancelAt(now)
-		}
+	wait, ok := c.takes(time.Now(), writes, most, ahead)
+	if !ok {
 		return ErrBudget
 	}
 	if wait > 0 {
@@ -182,6 +173,36 @@
 	return nil
 }
 
+// takes works out first what a request would have to wait, and reserves only
+// what will be used. A reservation of the limiter that is cancelled gives back
+// less than it took when others came after it: with many requests refused at
+// once a controller's debt grew faster than it was paid off, and nothing that
+// it had to write, ends of jobs among it, was ever written again.
+func (c *Client) takes(now time.Time, writes int, most time.Duration, ahead bool) (wait time.Duration, ok bool) {
+	c.taking.Lock()
+	defer c.taking.Unlock()
+	wait = delay(c.requests, now, 1)
+	writes = min(writes, c.changes.Burst())
+	if d := delay(c.changes, now, writes); !ahead || d > mostAhead {
+		wait = max(wait, d)
+	}
+	if wait > most {
+		return 0, false
+	}
+	c.requests.ReserveN(now, 1)
+	c.changes.ReserveN(now, writes)
+	return wait, true
+}
+
+// delay is how long a limiter would let so many events wait.
+func delay(l *rate.Limiter, now time.Time, n int) time.Duration {
+	short := float64(n) - l.TokensAt(now)
+	if short <= 0 || l.Limit() <= 0 {
+		return 0
+	}
+	return time.Duration(short / float64(l.Limit()) * float64(time.Second))
+}
+
 // mostAhead bounds how much of its future budget a controller may have used.
 const mostAhead = 3 * time.Second
 
--- a/internal/storage/client_test.go
+++ b/internal/storage/client_test.go
@@ -1,9 +1,17 @@
 package storage
 
 import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"reedtrack/internal/protocol"
 )
 
 // The budget for writes follows leadership and the service's limits; to say
@@ -27,3 +35,40 @@
 		}
 	})
 }
+
+type taken struct{}
+
+func (taken) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: 200, Body: io.NopCloser(bytes.NewReader([]byte("{}")))}, nil
+}
+
+// However many writes are refused for want of budget, what there is of it is
+// used up, and no more: many ends of jobs at once once brought a controller's
+// writes to a stand for ever (TestUpgradeWhileServing, "never over").
+func TestRefusedWritesCostNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const seconds = 60
+		c := NewClientOver(taken{}, 1000, 60, 7) // 6 writes a second, 6 at once
+		var written, refused atomic.Int64
+		var wg sync.WaitGroup
+		end := time.Now().Add(seconds * time.Second)
+		for range 40 {
+			wg.Go(func() {
+				for time.Now().Before(end) {
+					_, err := c.MultiSoon(t.Context(), protocol.Txn{Writes: make([]protocol.Write, 2)})
+					if err == nil {
+						written.Add(2)
+					} else if errors.Is(err, ErrBudget) {
+						refused.Add(1)
+					}
+					time.Sleep(250 * time.Millisecond)
+				}
+			})
+		}
+		wg.Wait()
+		most := int64(6 * (seconds + 1 + mostAhead.Seconds() + soon.Seconds()))
+		if n := written.Load(); n < 6*seconds || n > most || refused.Load() < 1000 {
+			t.Errorf("%d writes in %d s, of at most %d; %d refused", n, seconds, most, refused.Load())
+		}
+	})
+}
