Tell where the time of tasks goes, class by class and stage by stage

Need: before anything is built against lost seconds, to know where they are. With <stages-every-s> a controller keeps a sketch of every stage's times (DDSketch, within 2%) and logs them; off it is one look at a pointer.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -27,6 +27,7 @@
 	HolderLease time.Duration // a controller's lease at the state service
 	Idle        float64       // an empty machine is kept for so many times what a new one's boot costs
 	Status      string        // address of the operators' endpoint; empty: none
+	Stages      time.Duration // how often is logged where the time of tasks goes; 0: never, and nothing is recorded
 	Outputs     settings.Outputs
 }
 
@@ -48,13 +49,15 @@
 	HolderLease *float64 `xml:"holder-lease-s"`
 	Idle        *float64 `xml:"idle-boots"`
 	Status      *string  `xml:"status-listen"`
+	Stages      *float64 `xml:"stages-every-s"`
 
 	Outputs *settings.XML `xml:"outputs"`
 }
 
 var operatorNames = map[string]bool{"reedtrack": true, "reedtrack/ucfit": true, "reedtrack/ucfit/a": true,
 	"reedtrack/ucfit/b": true, "reedtrack/ucfit/c": true, "reedtrack/shards": true,
-	"reedtrack/fill-machines": true, "reedtrack/holder-lease-s": true, "reedtrack/idle-boots": true, "reedtrack/status-listen": true}
+	"reedtrack/fill-machines": true, "reedtrack/holder-lease-s": true, "reedtrack/idle-boots": true, "reedtrack/status-listen": true,
+	"reedtrack/stages-every-s": true}
 
 // known tells whether an element, by its path, is one of the operators' file.
 func known(path string) bool {
@@ -173,6 +176,12 @@
 	if x.Status != nil {
 		op.Status = strings.TrimSpace(*x.Status)
 	}
+	if x.Stages != nil {
+		if !(*x.Stages >= 0 && *x.Stages <= 3600) {
+			return op, &FieldError{file, "stages-every-s", "must be from 0 to 3600"}
+		}
+		op.Stages = Seconds(*x.Stages)
+	}
 	var err error
 	if op.Outputs, err = readOutputs(file, x.Outputs); err != nil {
 		return op, err
--- a/internal/coordination/checkin.go
+++ b/internal/coordination/checkin.go
@@ -76,6 +76,7 @@
 	x.sent = true
 	if t.Status == protocol.Running && x.status != protocol.Running {
 		x.began = now
+		s.noteBegan(x)
 	}
 	x.status = t.Status
 	if t.Status != protocol.Ended {
@@ -89,6 +90,7 @@
 			s.news = s.news || j.complete()
 		}
 		if !x.began.IsZero() && !x.adopted {
+			s.noteRan(x, now)
 			j.counted++
 			j.took += now.Sub(x.began).Seconds()
 		}
@@ -161,7 +163,7 @@
 	if m.settled && !m.bad && !m.release {
 		for k, x := range m.runs {
 			if !x.sent && !x.halt && !x.job.ended {
-				x.sent = true
+				x.sent, x.out = true, now
 				out = append(out, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Try: x.try})
 			}
 		}
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -178,7 +178,7 @@
 		return
 	}
 	s := newShard(i, rec.v, rec.stamp, n.now())
-	s.unread = n.unread
+	s.unread, s.stages = n.unread, n.stages
 	s.setGrant(g.v, n.size, n.now())
 	for _, jr := range n.jobs {
 		if jr.rec.Shard == i {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -14,12 +14,14 @@
 	"reedtrack/internal/config"
 	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
+	"reedtrack/internal/stages"
 	"reedtrack/internal/storage"
 )
 
 // Node is one controller.
 type Node struct {
 	set    *config.Settings
+	stages *stages.Recorder // nil: off
 	op     config.Operator
 	timing config.Timing
 	state  *storage.Client
@@ -121,6 +123,9 @@
 		teams: map[string]team{}, shards: map[int]*shard{}, others: map[string]*Status{},
 		ended: map[string]storage.End{}, refuse: map[kind]time.Time{}, gone: map[string]bool{}, bad: map[string]bool{}}
 	n.pending = map[string]pending{}
+	if op.Stages > 0 {
+		n.stages = stages.New()
+	}
 	n.stored = func(id string) (storage.End, bool) { e, ok := n.ended[id]; return e, ok }
 	for _, s := range set.Siblings {
 		if s.Name < set.HostName {
@@ -145,6 +150,9 @@
 	wg.Go(func() { every(ctx, n.kickWrite, n.write) })
 	wg.Go(func() { every(ctx, n.kickLead, n.leadTick) })
 	wg.Go(func() { every(ctx, n.kickWait, n.waitTurn) })
+	if n.stages != nil {
+		wg.Go(func() { n.tellStages(ctx) })
+	}
 	for name, p := range n.peers {
 		wg.Go(func() { n.gossipLoop(ctx, name, p) })
 	}
--- a/internal/coordination/progress.go
+++ b/internal/coordination/progress.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"reedtrack/internal/protocol"
+	"reedtrack/internal/stages"
 	"reedtrack/internal/storage"
 )
 
@@ -116,6 +117,7 @@
 	w.j.saving = false
 	switch {
 	case err == nil && w.end != nil:
+		n.stages.Since(w.j.spec.Class, stages.Tell, w.j.over)
 		n.noteEnd(w.j.id, *w.end)
 		n.resolve() // what waited for it is free at once
 		n.wake()
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"reedtrack/internal/protocol"
+	"reedtrack/internal/stages"
 )
 
 // Service answers HTTP requests for a controller.
@@ -37,7 +38,9 @@
 		refusals.Do(func() { slog.Info("submission refused", "err", err) })
 		return refuse(err)
 	}
+	came := s.Node.stages.Now()
 	st, known, err := s.Node.Submit(ctx, j)
+	s.Node.stages.Since(j.Class, stages.Accept, came)
 	if err != nil {
 		refusals.Do(func() { slog.Info("submission refused", "job", j.ID, "err", err) })
 		return refuse(err)
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -6,6 +6,7 @@
 
 	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
+	"reedtrack/internal/stages"
 	"reedtrack/internal/storage"
 )
 
@@ -29,6 +30,9 @@
 	halt    bool      // wanted gone
 	mercy   float64
 	haltOut time.Time
+	// for the record of where the time goes
+	placed time.Time
+	out    time.Time // when the start went out
 }
 
 // job is an accepted job that has not ended.
@@ -57,8 +61,9 @@
 	ended bool
 	// within: the job fits into its team's guarantee.
 	within  bool
-	counted int     // tasks done while this controller looked on,
-	took    float64 // and the seconds they ran
+	over    time.Time // when its last task was seen to have ended, for the record of stages
+	counted int       // tasks done while this controller looked on,
+	took    float64   // and the seconds they ran
 	// held: jobs that this one waits for are not known to be done; no task
 	// of it starts.
 	held  bool
@@ -68,6 +73,7 @@
 	// placed until its record has changed.
 	leaving    bool
 	came       time.Time // when this controller took it in
+	sure       time.Time // since when its tasks may start; zero: since it came
 	movedTo    int       // while the write has to be repeated; -1: it is known
 	unsureMove bool      // a write without an answer may still be applied
 	errOn      map[string]bool
@@ -132,6 +138,7 @@
 	vacate   bool // being emptied, to be given back
 	release  bool // being given back; sticky until the grant lacks it
 	idle     time.Time
+	granted  time.Time       // under this lease; zero: before it
 	images   map[string]bool // images fetched for this holder's tasks
 }
 
@@ -174,6 +181,7 @@
 	news    bool // something has come up that a plan or a write should not wait for
 	// unread jobs have a record that can't be read: they are left alone.
 	unread map[string]bool
+	stages *stages.Recorder
 }
 
 // kind is a type of machine, in a zone, spot or ordinary.
@@ -222,6 +230,9 @@
 			// A block granted under this very lease was empty, and nobody
 			// else can have started anything on it since.
 			settled: b.Term > s.term}
+		if b.Term > s.term {
+			s.machines[b.Machine].granted = now
+		}
 		s.settled = s.settled && b.Term > s.term
 	}
 	for id, m := range s.machines {
@@ -283,6 +294,7 @@
 func (s *shard) place(j *job, task int, m *machine) *run {
 	s.tries++
 	r := &run{key: taskKey{j.id, task}, job: j, m: m, try: s.term<<20 + s.tries}
+	s.notePlaced(r)
 	s.attach(r)
 	return r
 }
@@ -307,6 +319,7 @@
 		return
 	}
 	s.freed = true
+	s.noteLost(r)
 	delete(r.m.runs, r.key)
 	r.m.used = r.m.used.Sub(r.job.need)
 	if r.job.runs[r.key.task] == r {
@@ -356,6 +369,7 @@
 	}
 	s.settled, s.news = true, true
 	for _, j := range s.jobs {
+		s.noteSure(j)
 		j.unsure = false
 	}
 }
--- a/internal/coordination/waits.go
+++ b/internal/coordination/waits.go
@@ -70,6 +70,7 @@
 			if jr := n.jobs[id]; jr != nil {
 				j.level, j.by = jr.wait.level, jr.wait.byMS
 				if j.held && jr.wait.free {
+					j.sure = now
 					j.held, j.atMS, j.at = false, jr.wait.freeMS, n.since(jr.wait.freeMS)
 					s.news, s.freed = true, true
 					slog.Debug("job is free", "job", id)
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -63,6 +63,9 @@
 	stop context.CancelFunc
 	old  bool // plays the version before
 	cutW bool // workers do not reach it
+	// starts: being started; of two that find it down one starts it, as two
+	// processes of one name never run at once.
+	starts bool
 }
 
 var simBreeds = []protocol.Breed{
@@ -137,7 +140,10 @@
 			peers[o.name] = simPeer{w, k, set.HostName}
 		}
 	}
-	wr := &wire{s: w.store, rnd: rand.New(rand.NewPCG(uint64(w.intn(1e6)), 7)), bad: 0.02, old: w.nodes[i].old}
+	w.mu.Lock()
+	old := w.nodes[i].old
+	w.mu.Unlock()
+	wr := &wire{s: w.store, rnd: rand.New(rand.NewPCG(uint64(w.intn(1e6)), 7)), bad: 0.02, old: old}
 	st := storage.NewClientOver(wr, set.Deployment.State.RPS, set.Deployment.State.WriteRPS, 3)
 	n := New(&set, op, st, simCloud{w}, peers, w.direct)
 	n.cpu = func() time.Duration { return 0 }
@@ -146,7 +152,7 @@
 	}
 	ctx, stop := context.WithCancel(w.ctx)
 	w.mu.Lock()
-	w.nodes[i].node, w.nodes[i].wire, w.nodes[i].stop = n, wr, stop
+	w.nodes[i].node, w.nodes[i].wire, w.nodes[i].stop, w.nodes[i].starts = n, wr, stop, false
 	w.mu.Unlock()
 	w.goes(func() { n.Run(ctx) })
 }
@@ -757,10 +763,10 @@
 func (w *world) roll() {
 	for i := range w.nodes {
 		time.Sleep(20 * time.Second)
-		w.kill(i)
 		w.mu.Lock()
 		w.nodes[i].old = false
 		w.mu.Unlock()
+		w.kill(i)
 		w.goes(func() { time.Sleep(3 * time.Second); w.startIfDown(i) })
 	}
 	for w.ctx.Err() == nil {
@@ -940,7 +946,12 @@
 }
 
 func (w *world) startIfDown(i int) {
-	if w.ctx.Err() == nil && w.node(i) == nil {
+	w.mu.Lock()
+	n := w.nodes[i]
+	down := n.node == nil && !n.starts && w.ctx.Err() == nil
+	n.starts = n.starts || down
+	w.mu.Unlock()
+	if down {
 		w.start(i)
 	}
 }
