--- a/cmd/reedtrack/main.go
+++ b/cmd/reedtrack/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -16,6 +17,7 @@
 
 	"reedtrack/internal/config"
 	"reedtrack/internal/coordination"
+	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
 	"reedtrack/internal/transport"
 )
@@ -134,6 +136,24 @@
 	return slog.LevelInfo
 }
 
+// sendDirect sends commands straight to workers. Only an answer that can be
+// read tells what became of them.
+func sendDirect(w *transport.Workers) coordination.Direct {
+	return func(ctx context.Context, address string, d protocol.Direct) coordination.DirectAnswer {
+		t := w.Do(ctx, address, d)
+		a := coordination.DirectAnswer{Report: t.Report}
+		switch {
+		case !t.Left:
+			a.Outcome = coordination.Unsent
+		case t.Status == http.StatusOK && t.Report != nil:
+			a.Outcome = coordination.Done
+		case t.Status == http.StatusConflict || t.Status == http.StatusBadRequest:
+			a.Outcome = coordination.Denied
+		}
+		return a
+	}
+}
+
 // Run runs the daemon until it is ended.
 func (d *daemonCmd) Run() error {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level()})))
@@ -154,7 +174,7 @@
 	for _, s := range set.Siblings {
 		peers[s.Name] = transport.NewLink(s.Address)
 	}
-	node := coordination.New(set, op, state, transport.NewCloud(set.Services.Cloud, coordination.ErrNoCapacity), peers, transport.SendDirect())
+	node := coordination.New(set, op, state, transport.NewCloud(set.Services.Cloud, coordination.ErrNoCapacity), peers, sendDirect(transport.NewWorkers()))
 	peerLn, err := net.Listen("tcp", set.PeerBind)
 	if err != nil {
 		return err
--- a/internal/coordination/checkin.go
+++ b/internal/coordination/checkin.go
@@ -2,46 +2,49 @@
 
 import (
 	"log/slog"
-	"slices"
 	"time"
 
+	"reedtrack/internal/binding"
 	"reedtrack/internal/protocol"
 )
 
 // report takes in a worker's report; false means that it is older than one
-// taken in before, and nothing has changed.
+// taken in before, and is not to be answered.
 func (s *shard) report(m *machine, r *protocol.Report, now time.Time) bool {
-	if m.heard && (r.Stint < m.stint || r.Stint == m.stint && r.Tally <= m.tally) {
+	first := !m.heard()
+	same := !first && r.Stint == m.line.Stint()
+	order, grown := m.line.Report(r.Stint, r.Tally)
+	if order == binding.Old {
 		return false
 	}
-	if m.heard && r.Stint > m.stint {
-		// The worker's lease ran out: whatever was started before is gone.
+	if grown {
+		// The worker's lease ran out: whatever was started before is gone,
+		// and what is still on its way there is refused.
 		for _, x := range m.runs {
-			if x.sent {
+			if x.start.Sent() {
 				s.drop(x)
 			}
 		}
 	}
-	if m.expired && m.heard && r.Stint == m.stint {
+	if m.expired && same {
 		// By our clock its lease is over, and it has not noticed yet. It
 		// will, before it can take an answer.
-		m.tally = r.Tally
 		return false
 	}
-	m.stint, m.tally, m.address = r.Stint, r.Tally, r.Address
-	if s.freed = s.freed || !m.heard || m.expired; m.expired {
+	m.address, m.direct.reported = r.Address, now
+	if order == binding.Behind {
+		// What it lists was known from a newer answer of /do. The worker waits
+		// for orders all the same.
+		return true
+	}
+	if s.freed = s.freed || first || m.expired; m.expired {
 		m.idle = now // back after its lease, and empty
 	}
-	m.heard, m.expired = true, false
+	m.expired = false
 	if r.Baton >= s.baton(m) {
 		m.settled = true
 	}
-	if r.WarningS != nil && m.takenAt.IsZero() {
-		m.takenAt = now.Add(time.Duration(*r.WarningS * float64(time.Second)))
-		slog.Info("machine will be taken", "machine", m.block.Machine, "in_s", *r.WarningS)
-	} else if r.WarningS == nil {
-		m.takenAt = time.Time{}
-	}
+	m.warn(r.WarningS, now)
 	clear(m.stray)
 	clear(m.cleared)
 	m.odd = false
@@ -63,7 +66,7 @@
 		// The worker has one report in flight at a time: what it does not
 		// list now, though an earlier answer carried the start, it has
 		// dropped with that answer or forgotten.
-		if x.sent && !listed[k] {
+		if !listed[k] && x.start.Unlisted(r.Baton > s.baton(m), s.guards) {
 			s.drop(x)
 		}
 	}
@@ -71,9 +74,18 @@
 	return true
 }
 
+func (m *machine) warn(inS *float64, now time.Time) {
+	if inS != nil && m.takenAt.IsZero() {
+		m.takenAt = now.Add(time.Duration(*inS * float64(time.Second)))
+		slog.Info("machine will be taken", "machine", m.block.Machine, "in_s", *inS)
+	} else if inS == nil {
+		m.takenAt = time.Time{}
+	}
+}
+
 // update follows a task that this controller knows of.
 func (s *shard) update(m *machine, x *run, t protocol.TaskReport, now time.Time) {
-	x.sent = true
+	x.start.Listed()
 	if t.Status == protocol.Running && x.status != protocol.Running {
 		x.began = now
 		s.noteBegan(x)
@@ -101,6 +113,7 @@
 		s.news = true
 		s.failed(m, j, now)
 	}
+	m.line.Over(x.key, t.Try, &x.start)
 	s.drop(x)
 	m.cleared[x.key] = t.Try
 }
@@ -144,7 +157,8 @@
 		m.stray[k] = t.Try
 		return
 	}
-	x := &run{key: k, job: j, m: m, try: t.Try, sent: true, status: t.Status, began: now, adopted: true}
+	x := &run{key: k, job: j, m: m, try: t.Try, status: t.Status, began: now, adopted: true}
+	x.start.Listed()
 	s.attach(x)
 }
 
@@ -157,30 +171,42 @@
 			// The worker keeps the news until the record has it.
 			continue
 		}
+		if !m.line.Clear(k, try, s.guards) {
+			continue // a copy of its start may still come, and would start it anew
+		}
 		out = append(out, protocol.Order{Verb: protocol.VerbClear, Task: protocol.TaskName(k.job, k.task), Try: try})
 	}
+	// What is to be stopped and may still be on its way straight to the worker
+	// is started first: an attempt that it has had is not started by a copy.
+	for k, x := range m.runs {
+		if x.halt && x.start.Bound() && s.guards&binding.NoFirst == 0 {
+			x.start.Answer()
+			out = append(out, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Try: x.try})
+		}
+	}
 	out = append(out, s.halts(m, now)...)
 	if m.settled && !m.bad && !m.release {
-		for k, x := range m.runs {
-			if !x.sent && !x.halt && !x.job.ended {
-				x.sent, x.out = true, now
-				out = append(out, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Try: x.try})
-			}
-		}
+		out = append(out, s.starts(m, now)...)
 	}
 	m.answered = now
-	slices.SortStableFunc(out, func(a, b protocol.Order) int { return rank(a.Verb) - rank(b.Verb) })
 	return out
 }
 
-func rank(verb string) int {
-	switch verb {
-	case protocol.VerbClear:
-		return 0
-	case protocol.VerbHalt:
-		return 1
-	}
-	return 2
+// starts lists the starts that a machine is owed in the answer to a report:
+// those that have not gone out, and those that have gone straight to it and of
+// which it has not told yet.
+func (s *shard) starts(m *machine, now time.Time) []protocol.Order {
+	var out []protocol.Order
+	for k, x := range m.runs {
+		if x.halt || x.job.ended || !x.start.Owed() {
+			continue
+		}
+		if x.start.Answer(); x.out.IsZero() {
+			x.out = now
+		}
+		out = append(out, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Try: x.try})
+	}
+	return out
 }
 
 // halts lists the halts that a machine is due.
@@ -191,7 +217,7 @@
 		out = append(out, protocol.Order{Verb: protocol.VerbHalt, Task: protocol.TaskName(k.job, k.task), Try: try, MercyS: &zero})
 	}
 	for k, x := range m.runs {
-		if x.halt && x.sent {
+		if x.halt && x.start.Sent() {
 			x.haltOut = now
 			mercy := x.mercy
 			out = append(out, protocol.Order{Verb: protocol.VerbHalt, Task: protocol.TaskName(k.job, k.task), Try: x.try, MercyS: &mercy})
--- a/internal/coordination/empty.go
+++ b/internal/coordination/empty.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		for _, r := range m.runs {
-			if !r.sent {
+			if !r.start.Sent() {
 				s.drop(r)
 				continue
 			}
--- /dev/null
+++ b/internal/coordination/explore_test.go
@@ -0,0 +1,545 @@
+package coordination
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"reedtrack/internal/binding"
+	"reedtrack/internal/placement"
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// The explorer plays every order of events, up to a bound, between holders,
+// which are the real code, and plain models of two workers and of a network that
+// loses and holds back. One task of one processor has room on either worker.
+//
+// In every state it looks at what could start now or ever: what is on a worker,
+// and what a message that is still under way would start there. All of that must
+// be in the books of whoever may place the task; then nothing runs twice, over a
+// limit, or after a cancellation that was told.
+
+const exWorkers = 2
+
+type exWorker struct {
+	baton, stint, tally uint64
+	has                 map[string]exTask // by name
+	report              *protocol.Report  // made, and not yet at the holder
+	asked               bool              // waits for the answer to a report
+	answer              *protocol.Orders  // under way
+	after               bool              // the answer was made after the cancellation
+	renewed             bool              // has had an answer since its stint began
+	told                bool              // has had one that was made after the cancellation
+}
+
+type exTask struct {
+	try    uint64
+	active bool
+	cause  string
+}
+
+// exDirect is a message straight to a worker. gone: its sender has given it up.
+type exDirect struct {
+	to     int
+	f      flight
+	d      protocol.Direct
+	gone   bool
+	reply  *DirectAnswer // executed, and its answer under way
+	holder *shard
+}
+
+// exBounds say how often the rarer events happen, so that the explorer gets
+// deep.
+type exBounds struct{ sent, asks, tries, ends, expires, late, cancel, takeOver, handBack, stop int }
+
+type explorer struct {
+	guards  binding.Guards
+	bounds  exBounds
+	broken  string // what a holder does wrong on purpose
+	holder  *shard // of the job and, unless handed back, of both machines
+	other   *shard // of a machine that was handed back
+	job     *job
+	workers [exWorkers]*exWorker
+	direct  []*exDirect
+	late    []*protocol.Report // reports that their workers have given up
+	gone    bool               // the job was cancelled
+	done    bool
+	sent    int // messages straight to workers so far
+	ends    int
+	expires int
+	terms   uint64
+	now     time.Time
+}
+
+// newExplorer begins with both machines heard of and nothing placed.
+func newExplorer(g binding.Guards, b exBounds, broken string) *explorer {
+	x := &explorer{guards: g, bounds: b, broken: broken, now: time.Unix(1e9, 0), terms: 10}
+	for i := range x.workers {
+		x.workers[i] = &exWorker{stint: 1, has: map[string]exTask{}}
+	}
+	x.holder = x.newHolder(0, 1)
+	x.addJob(9)
+	for range 2 {
+		for i := range x.workers {
+			for _, e := range []string{"report ", "hears ", "answer "} {
+				x.steps()[e+exName(i)]()
+			}
+		}
+	}
+	return x
+}
+
+func exName(i int) string { return string(rune('a' + i)) }
+
+// newHolder is a holder of some machines under a new term.
+func (x *explorer) newHolder(machines ...int) *shard {
+	x.terms++
+	s := newShard(0, storage.Shard{Term: x.terms}, 5, x.now)
+	s.guards = x.guards
+	var g storage.Grant
+	for _, i := range machines {
+		// Granted under an earlier lease: the machines have to be heard of first.
+		g.Blocks = append(g.Blocks, storage.Block{Machine: exName(i), Breed: "small", Zone: "a", Term: 1})
+	}
+	s.setGrant(g, func(string) (placement.Vector, bool) { return placement.Vector{1, 0, 4}, true }, x.now)
+	s.settled = false
+	s.settle()
+	s.shares = map[string]storage.Amount{"red": {Cores: 1}}
+	return s
+}
+
+func (x *explorer) addJob(stamp uint64) {
+	x.job = &job{id: "wk-1", stamp: stamp, need: placement.Vector{1, 0, 1},
+		spec: protocol.Job{ID: "wk-1", Team: "red", Shape: "array", Tasks: 1, Cores: 1}}
+	if x.done {
+		x.job.done.Add(0)
+	}
+	x.holder.addJob(x.job)
+}
+
+// machineOf is a worker's machine with the shard that has it.
+func (x *explorer) machineOf(i int) (*shard, *machine) {
+	for _, s := range []*shard{x.holder, x.other} {
+		if s != nil && s.machines[exName(i)] != nil {
+			return s, s.machines[exName(i)]
+		}
+	}
+	return nil, nil
+}
+
+// steps are the events that may come next, by name.
+func (x *explorer) steps() map[string]func() {
+	out := map[string]func(){}
+	for i, w := range x.workers {
+		s, m := x.machineOf(i)
+		at := exName(i)
+		if !w.asked {
+			out["report "+at] = func() { w.report, w.asked = x.reportOf(i), true }
+		}
+		if w.report != nil {
+			out["hears "+at] = func() { x.hear(i, w.report); w.report = nil }
+		}
+		if w.answer != nil {
+			out["answer "+at] = func() { x.answered(w) }
+		}
+		if w.asked && (w.report != nil || w.answer != nil) {
+			out["give up "+at] = func() {
+				if w.report != nil && len(x.late) < x.bounds.late {
+					x.late = append(x.late, w.report)
+				}
+				w.report, w.answer, w.asked = nil, nil, false
+			}
+		}
+		if m == nil {
+			continue
+		}
+		if s == x.holder && x.canPlace(m) {
+			out["place "+at] = func() { s.place(x.job, x.job.take(), m) }
+		}
+		if e, some := m.errand(x.now.Add(time.Second)); some && x.sent < x.bounds.sent {
+			out["direct "+at] = func() {
+				_ = e
+				x.sent++
+				f := (&Node{}).board(errand{s, m}, x.now)
+				x.direct = append(x.direct, &exDirect{to: i, f: f, d: f.d, holder: s})
+			}
+		}
+		if !m.line.Flying() && m.heard() && x.bounds.asks > 0 {
+			out["ask "+at] = func() {
+				x.bounds.asks--
+				f := (&Node{}).board(errand{s, m}, x.now)
+				x.direct = append(x.direct, &exDirect{to: i, f: f, d: f.d, holder: s})
+			}
+		}
+		for name, t := range w.has {
+			if t.active && x.ends < x.bounds.ends {
+				out["end "+at] = func() { x.ends++; w.has[name] = exTask{try: t.try, cause: protocol.CauseHalted} }
+				out["done "+at] = func() {
+					x.ends++
+					x.done = true
+					w.has[name] = exTask{try: t.try, cause: protocol.CauseDone}
+				}
+			}
+		}
+		if x.expires < x.bounds.expires && (len(w.has) > 0 || w.renewed) {
+			out["expire "+at] = func() {
+				x.expires++
+				w.stint++
+				w.has, w.answer, w.report, w.asked, w.renewed = map[string]exTask{}, nil, nil, false, false
+			}
+		}
+		// Silent for longer than the lease: the worker has expired since its last
+		// answer, and none is under way.
+		if (w.stint > m.line.Stint() || x.broken == "impatient") && m.heard() && !w.renewed && w.answer == nil && !m.expired {
+			out["silent "+at] = func() { s.lost(m); s.settle() }
+		}
+		for _, r := range m.runs {
+			if r.start.Sent() && !r.halt && x.bounds.stop > 0 {
+				out["stop "+at] = func() { r.halt = true }
+			}
+		}
+		if s == x.holder && x.other == nil && x.bounds.handBack > 0 && m.settled && m.heard() && (len(m.runs) == 0 || x.broken == "hasty") && len(m.stray) == 0 {
+			out["hand back "+at] = func() {
+				for _, r := range m.runs {
+					s.drop(r)
+				}
+				delete(s.machines, at)
+				x.terms++
+				x.other = newShard(1, storage.Shard{Term: 1}, 1, x.now)
+				x.other.guards = x.guards
+				x.other.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: at, Breed: "small", Zone: "a", Term: x.terms}}},
+					func(string) (placement.Vector, bool) { return placement.Vector{1, 0, 4}, true }, x.now)
+			}
+		}
+	}
+	for k, d := range x.direct {
+		at := fmt.Sprintf("%s%d", exName(d.to), k)
+		if d.reply == nil {
+			out["arrives "+at] = func() { x.arrives(d) }
+			if !d.gone {
+				out["not sent "+at] = func() { x.land(d, DirectAnswer{Outcome: Unsent}); x.forget(d) }
+				out["unanswered "+at] = func() { x.land(d, DirectAnswer{}); d.gone = true }
+			}
+		} else if !d.gone {
+			out["replied "+at] = func() { x.land(d, *d.reply); x.forget(d) }
+			out["reply lost "+at] = func() { x.land(d, DirectAnswer{}); x.forget(d) }
+		}
+	}
+	if len(x.late) > 0 {
+		out["late report"] = func() {
+			r := x.late[0]
+			x.late = nil
+			if s, m := x.machineOf(int(r.Machine[0] - 'a')); m != nil {
+				s.report(m, r, x.now)
+			}
+		}
+	}
+	if !x.gone && !x.done && x.bounds.cancel > 0 {
+		out["cancel"] = func() {
+			x.gone = true
+			x.holder.endJob("wk-1")
+		}
+	}
+	if x.bounds.takeOver > 0 {
+		out["take over"] = func() {
+			x.bounds.takeOver--
+			var have []int
+			for i := range x.workers {
+				if x.holder.machines[exName(i)] != nil {
+					have = append(have, i)
+				}
+			}
+			x.holder = x.newHolder(have...)
+			if !x.gone {
+				x.addJob(1) // older than the lease
+			}
+			if x.broken == "trusting" {
+				for _, m := range x.holder.machines {
+					m.settled = true
+				}
+				x.holder.settle()
+			}
+		}
+	}
+	return out
+}
+
+func (x *explorer) canPlace(m *machine) bool {
+	j := x.job
+	return !x.gone && x.holder.jobs[j.id] == j && !j.unsure && j.waiting() > 0 && j.takes(m) && m.free().Fits(j.need) &&
+		x.holder.room(j, map[string]team{"red": {limit: storage.Amount{Cores: 1}}}, x.holder.unknown()) > 0 && int(x.holder.tries) < x.bounds.tries
+}
+
+func (x *explorer) reportOf(i int) *protocol.Report {
+	w := x.workers[i]
+	w.tally++
+	r := &protocol.Report{Machine: exName(i), Address: exName(i), Breed: "small", Zone: "a", Stint: w.stint, Tally: w.tally, Baton: w.baton}
+	for _, name := range slices.Sorted(maps.Keys(w.has)) {
+		t := w.has[name]
+		st := protocol.TaskReport{Task: name, Try: t.try, Status: protocol.Running}
+		if !t.active {
+			st.Status, st.Cause = protocol.Ended, t.cause
+		}
+		r.Tasks = append(r.Tasks, st)
+	}
+	return r
+}
+
+func (x *explorer) hear(i int, r *protocol.Report) {
+	s, m := x.machineOf(i)
+	if m == nil || !s.report(m, r, x.now) {
+		x.workers[i].asked = false // 503
+		return
+	}
+	o := &protocol.Orders{Baton: s.baton(m), Orders: s.orders(m, x.now)}
+	x.workers[i].answer, x.workers[i].after = o, x.gone
+}
+
+func (x *explorer) answered(w *exWorker) {
+	o := w.answer
+	w.answer, w.asked = nil, false
+	if o.Baton < w.baton {
+		return
+	}
+	w.baton, w.renewed = o.Baton, true
+	w.told = w.told || w.after
+	w.obey(o.Orders, x)
+}
+
+func (w *exWorker) obey(orders []protocol.Order, x *explorer) {
+	for _, o := range orders {
+		t, ok := w.has[o.Task]
+		switch o.Verb {
+		case protocol.VerbStart:
+			if !ok || !t.active && t.try != o.Try {
+				w.has[o.Task] = exTask{try: o.Try, active: true}
+			}
+		case protocol.VerbHalt:
+			if ok && t.active && t.try == o.Try {
+				w.has[o.Task] = exTask{try: o.Try, cause: protocol.CauseHalted}
+			}
+		case protocol.VerbClear:
+			if ok && !t.active && t.try == o.Try {
+				delete(w.has, o.Task)
+			}
+		}
+	}
+}
+
+func (x *explorer) arrives(d *exDirect) {
+	w := x.workers[d.to]
+	a := &DirectAnswer{Outcome: Denied}
+	if d.d.Baton >= w.baton && d.d.Stint == w.stint {
+		a.Outcome = Done
+		w.baton = d.d.Baton
+		w.obey(d.d.Orders, x)
+	}
+	a.Report = x.reportOf(d.to)
+	if d.reply = a; d.gone {
+		x.forget(d)
+	}
+}
+
+func (x *explorer) forget(d *exDirect) {
+	x.direct = slices.DeleteFunc(slices.Clone(x.direct), func(o *exDirect) bool { return o == d })
+}
+
+func (x *explorer) land(d *exDirect, a DirectAnswer) {
+	if s, m := x.machineOf(d.to); s == d.holder && m == d.f.m {
+		s.landed(&d.f, a, x.now)
+	}
+}
+
+// wrong says what could break a rule in this state.
+func (x *explorer) wrong() string {
+	type at struct {
+		worker int
+		try    uint64
+	}
+	var can []at // what runs, or may yet be started by what is under way
+	active := 0
+	for i, w := range x.workers {
+		for _, t := range w.has {
+			if t.active {
+				active++
+				can = append(can, at{i, t.try})
+			}
+		}
+	}
+	if active > 1 {
+		return "ran_twice: on both workers"
+	}
+	for _, d := range x.direct {
+		w := x.workers[d.to]
+		if d.reply != nil || d.d.Baton < w.baton || d.d.Stint != w.stint {
+			continue
+		}
+		for _, o := range d.d.Orders {
+			if t, ok := w.has[o.Task]; o.Verb == protocol.VerbStart && (!ok || !t.active && t.try != o.Try) {
+				can = append(can, at{d.to, o.Try})
+				if x.gone && w.told {
+					return "ran_cancelled: a copy can start it, though the worker's lease was renewed since the cancellation"
+				}
+			}
+		}
+	}
+	for _, c := range can {
+		m := x.holder.machines[exName(c.worker)]
+		if m == nil {
+			return fmt.Sprintf("try %d can start on machine %s, which was handed back", c.try, exName(c.worker))
+		}
+		if !m.settled || len(m.stray) > 0 {
+			continue // counts in full, and nothing unsure starts
+		}
+		if r := m.runs[taskKey{"wk-1", 0}]; r == nil || r.try != c.try {
+			return fmt.Sprintf("try %d is or can start on machine %s, and is not in the books", c.try, exName(c.worker))
+		}
+	}
+	return ""
+}
+
+// key tells states apart. Tallies count only by their order.
+func (x *explorer) key() string {
+	var all []uint64
+	for i, w := range x.workers {
+		all = append(all, w.tally)
+		if w.report != nil {
+			all = append(all, w.report.Tally)
+		}
+		if _, m := x.machineOf(i); m != nil {
+			a, b := m.line.Tallies()
+			all = append(all, a, b)
+		}
+	}
+	for _, d := range x.direct {
+		if d.reply != nil {
+			all = append(all, d.reply.Report.Tally)
+		}
+	}
+	for _, r := range x.late {
+		all = append(all, r.Tally)
+	}
+	slices.Sort(all)
+	all = slices.Compact(all)
+	rank := func(t uint64) int { return sort.Search(len(all), func(i int) bool { return all[i] >= t }) }
+	var b strings.Builder
+	p := func(f string, a ...any) { fmt.Fprintf(&b, f, a...) }
+	rep := func(r *protocol.Report) {
+		if r != nil {
+			p("<%s %d %d %d %v>", r.Machine, r.Stint, rank(r.Tally), r.Baton, r.Tasks)
+		}
+	}
+	p("%v%v%d%d%d%d%v|", x.gone, x.done, x.sent, x.ends, x.expires, x.terms, x.bounds)
+	for i, w := range x.workers {
+		p("%d %d %d %v%v%v%v%v", w.baton, w.stint, rank(w.tally), w.has, w.asked, w.renewed, w.told, w.after)
+		rep(w.report)
+		if w.answer != nil {
+			p("ans%d%s", w.answer.Baton, exOrders(w.answer.Orders))
+		}
+		s, m := x.machineOf(i)
+		if m == nil {
+			continue
+		}
+		r, n := m.line.Tallies()
+		p("[%d %d %d %d %v %v%v%v %v %v", s.term, m.line.Stint(), rank(r), rank(n), m.line.State(), m.settled, m.expired, m.heard(), m.cleared, m.stray)
+		for k, r := range m.runs {
+			p("{%v %d %+v %v %v %s}", k, r.try, r.start, r.halt, r.haltOut.IsZero(), r.status)
+		}
+		p("]")
+	}
+	for _, d := range x.direct {
+		p("D%d %d %d %v %v%s %v", d.to, d.d.Baton, d.d.Stint, d.gone, d.f.f, exOrders(d.d.Orders), d.holder == x.holder)
+		if d.reply != nil {
+			p("%d", d.reply.Outcome)
+			rep(d.reply.Report)
+		}
+	}
+	for _, r := range x.late {
+		rep(r)
+	}
+	j := x.job
+	p("J%v%v%d%v%d %d %v", j.unsure, j.ended, j.next, j.again, x.holder.tries, j.done.Len(), len(j.errOn))
+	return b.String()
+}
+
+func exOrders(orders []protocol.Order) string {
+	var list []string
+	for _, o := range orders {
+		list = append(list, fmt.Sprint(o.Verb, o.Task, o.Try))
+	}
+	return strings.Join(list, ",")
+}
+
+// explore plays all orders of events breadth first until so many states are
+// known, or all. A state is reached by playing its events from the beginning:
+// the real code can't be copied.
+func explore(g binding.Guards, b exBounds, broken string, most int) (states int, trace []string, wrong string) {
+	seen := map[string]bool{}
+	play := func(events []string) *explorer {
+		x := newExplorer(g, b, broken)
+		for _, e := range events {
+			x.steps()[e]()
+		}
+		return x
+	}
+	queue := [][]string{nil}
+	seen[play(nil).key()] = true
+	for len(queue) > 0 && len(seen) < most {
+		at := queue[0]
+		queue = queue[1:]
+		for _, e := range slices.Sorted(maps.Keys(play(at).steps())) {
+			next := append(slices.Clip(at), e)
+			x := play(next)
+			if k := x.key(); !seen[k] {
+				seen[k] = true
+				if why := x.wrong(); why != "" {
+					return len(seen), next, why
+				}
+				queue = append(queue, next)
+			}
+		}
+	}
+	return len(seen), nil, ""
+}
+
+// Whatever arrives in whatever order, a task can start only where the books say
+// so. With a guard left out, or a holder that is broken on purpose, the same
+// explorer finds a way to break that. REEDTRACK_EXPLORE sets how many states of
+// each scenario are looked at.
+func TestStartsExplored(t *testing.T) {
+	most := 4000
+	fmt.Sscan(os.Getenv("REEDTRACK_EXPLORE"), &most)
+	for name, c := range map[string]struct {
+		b      exBounds
+		g      binding.Guards
+		broken string
+	}{
+		"lost and late":  {exBounds{sent: 2, tries: 2, ends: 1, late: 1}, binding.NoLoose, ""},
+		"an answer lost": {exBounds{sent: 1, asks: 1, tries: 2}, binding.NoBehind, ""},
+		"ended early":    {exBounds{sent: 1, tries: 2, ends: 1}, binding.NoLate, ""},
+		"cancelled":      {exBounds{sent: 1, tries: 1, cancel: 1, ends: 1}, binding.NoFirst, ""},
+		"stopped":        {exBounds{sent: 2, tries: 2, stop: 1}, binding.NoLate, ""},
+		"taken over":     {exBounds{sent: 2, tries: 2, takeOver: 1, ends: 1}, 0, "trusting"},
+		"handed back":    {exBounds{sent: 1, tries: 2, handBack: 1, ends: 1}, 0, "hasty"},
+		"lease over":     {exBounds{sent: 1, tries: 2, expires: 1, ends: 1}, 0, "impatient"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			states, trace, why := explore(0, c.b, "", most)
+			if why != "" {
+				t.Errorf("%s\n%s", why, strings.Join(trace, "\n"))
+			}
+			t.Logf("%d states", states)
+			if states, trace, why = explore(c.g, c.b, c.broken, most); why == "" {
+				t.Errorf("not noticed that it is broken, in %d states", states)
+			}
+			t.Logf("broken: %s after %d events of %d states: %s", why, len(trace), states, strings.Join(trace, ", "))
+		})
+	}
+}
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -229,7 +229,7 @@
 		if jr := n.jobs[id]; jr != nil {
 			if s := n.shards[jr.rec.Shard]; s != nil {
 				s.endJob(id)
-				go n.sendHalts(jr.rec.Shard)
+				s.news = true
 			}
 		}
 		delete(n.jobs, id)
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -167,7 +167,8 @@
 		ran time.Duration
 	}{{"a", 25 * time.Second}, {"a", 23 * time.Second}, {"b", 25 * time.Second}, {"b", 9 * time.Second}, {"b", 9 * time.Second}} {
 		r := s.place(j, i, s.machines[at.m])
-		r.sent, r.status, r.began = true, protocol.Running, now.Add(-at.ran)
+		r.start.Listed()
+		r.status, r.began = protocol.Running, now.Add(-at.ran)
 	}
 	s.slowness(now)
 	if !s.machines["a"].slow || s.machines["b"].slow {
@@ -307,3 +308,73 @@
 		t.Errorf("newer record not taken: %v", s.shares["red"])
 	}
 }
+
+// A start that went straight to a worker and was not answered stays bound to it.
+// The next answer carries the same attempt again, and once it has ended the
+// worker is not told to forget it while the copy may come, nor is the task
+// started there anew; a new stint ends all that.
+func TestUnansweredDirectStart(t *testing.T) {
+	now := time.Now()
+	s := newShard(0, storage.Shard{Term: 1}, 1, now)
+	s.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "a", Term: 2}}}, size4, now)
+	m := s.machines["a"]
+	j := &job{id: "wk-1", spec: protocol.Job{ID: "wk-1", Team: "red", Shape: "array", Tasks: 1}, stamp: 9, need: placement.Vector{1, 0, 1}}
+	s.addJob(j)
+	s.report(m, &protocol.Report{Machine: "a", Address: "a:1", Stint: 1, Tally: 1, Baton: 2}, now)
+	s.orders(m, now)
+	r := s.place(j, j.take(), m)
+	e, some := m.errand(now)
+	if !some || e.Orders != 1 {
+		t.Fatalf("nothing to send: %+v", e)
+	}
+	f := (&Node{}).board(errand{s, m}, now)
+	if _, again := m.errand(now); again || len(f.d.Orders) != 1 {
+		t.Fatalf("sends %v and more at once", f.d.Orders)
+	}
+	s.landed(&f, DirectAnswer{}, now)
+	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 2, Baton: 2}, now)
+	if j.runs[0] != r {
+		t.Fatal("taken for absent, though the message may still come")
+	}
+	if o := s.orders(m, now); len(o) != 1 || o[0].Try != r.try || o[0].Verb != protocol.VerbStart {
+		t.Fatalf("orders %v", o)
+	}
+	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 3, Baton: 2}, now)
+	if o := s.orders(m, now); j.runs[0] != r || len(o) != 1 {
+		t.Fatalf("the answer was lost: orders %v", o)
+	}
+	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 4, Baton: 2, Tasks: []protocol.TaskReport{
+		{Task: "wk-1/0", Try: r.try, Status: protocol.Ended, Cause: protocol.CauseHalted}}}, now)
+	if o := s.orders(m, now); len(o) != 0 || len(j.runs) != 0 || j.takes(m) {
+		t.Fatalf("orders %v, runs %v, takes %v", o, j.runs, j.takes(m))
+	}
+	s.report(m, &protocol.Report{Machine: "a", Stint: 2, Tally: 5, Baton: 2}, now)
+	if !j.takes(m) {
+		t.Error("its new stint refuses the copy")
+	}
+}
+
+// A report that was under way when a newer answer of /do came is answered, since
+// its worker waits, and takes nothing back.
+func TestReportBehindDirectAnswer(t *testing.T) {
+	now := time.Now()
+	s := newShard(0, storage.Shard{Term: 1}, 1, now)
+	s.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "a", Term: 2}}}, size4, now)
+	m := s.machines["a"]
+	j := &job{id: "wk-1", spec: protocol.Job{ID: "wk-1", Team: "red", Shape: "array", Tasks: 1}, stamp: 9, need: placement.Vector{1, 0, 1}}
+	s.addJob(j)
+	s.report(m, &protocol.Report{Machine: "a", Address: "a:1", Stint: 1, Tally: 1, Baton: 2}, now)
+	r := s.place(j, j.take(), m)
+	f := (&Node{}).board(errand{s, m}, now)
+	s.landed(&f, DirectAnswer{Done, &protocol.Report{Machine: "a", Stint: 1, Tally: 3, Baton: 2,
+		Tasks: []protocol.TaskReport{{Task: "wk-1/0", Try: r.try, Status: protocol.Running}}}}, now)
+	if r.status != protocol.Running || m.line.Flying() {
+		t.Fatalf("status %q, flying %v", r.status, m.line.Flying())
+	}
+	if !s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 2, Baton: 2}, now) || j.runs[0] != r {
+		t.Error("not to be answered, or taken for absent")
+	}
+	if s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 2, Baton: 2}, now) {
+		t.Error("answered twice")
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"reedtrack/internal/config"
+	"reedtrack/internal/courier"
 	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/stages"
@@ -28,6 +29,7 @@
 	cloud  Cloud
 	peers  map[string]Peer
 	direct Direct
+	desk   *courier.Desk
 	now    func() time.Time
 	cpu    func() time.Duration                // processor time used so far
 	stored func(id string) (storage.End, bool) // a job's end, if the state service is known to have it
@@ -106,9 +108,6 @@
 	List(ctx context.Context, since string) (protocol.MachineList, error)
 }
 
-// Direct sends commands straight to a worker.
-type Direct func(ctx context.Context, address string, d protocol.Direct) error
-
 // ErrNoCapacity says that the cloud has none of what was asked.
 var ErrNoCapacity = errors.New("cloud: no capacity")
 
@@ -123,6 +122,8 @@
 		teams: map[string]team{}, shards: map[int]*shard{}, others: map[string]*Status{},
 		ended: map[string]storage.End{}, refuse: map[kind]time.Time{}, gone: map[string]bool{}, bad: map[string]bool{}}
 	n.pending = map[string]pending{}
+	d := &set.Deployment
+	n.desk = courier.NewDesk(courier.RulesFor(config.Seconds(d.Workers.ReportS), d.Limits.CPUShare, d.Limits.MaxSockets))
 	if op.Stages > 0 {
 		n.stages = stages.New()
 	}
--- a/internal/coordination/overview.go
+++ b/internal/coordination/overview.go
@@ -96,7 +96,7 @@
 		v.State = "slow"
 	case !m.takenAt.IsZero():
 		v.State = "to be taken"
-	case !m.heard || !m.settled:
+	case !m.heard() || !m.settled:
 		v.State = "not heard of yet"
 	case m.vacate:
 		v.State = "being emptied"
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -30,7 +30,20 @@
 
 // takes tells whether a machine may get one more task of a job, room apart.
 func (j *job) takes(m *machine) bool {
-	return m.usable() && !m.vacate && j.allows(m.block.Breed, m.block.Zone, m.block.Spot) && !j.errOn[m.block.Machine] && j.zoneOK(m.block.Zone)
+	return m.usable() && !m.vacate && j.allows(m.block.Breed, m.block.Zone, m.block.Spot) && !j.errOn[m.block.Machine] && j.zoneOK(m.block.Zone) &&
+		(m.line.Doubts() == 0 || !m.lateOf(j.id))
+}
+
+// lateOf tells whether a copy of a start of one of a job's tasks may still come
+// to a machine. Another attempt there would take the place of the one that
+// makes the copy harmless.
+func (m *machine) lateOf(id string) bool {
+	for k := range m.line.LateKeys() {
+		if k.job == id {
+			return true
+		}
+	}
+	return false
 }
 
 // room tells how many more tasks of a job its team's share allows.
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -97,7 +97,7 @@
 		c := all[best]
 		for _, r := range c.runs {
 			slog.Info("preempting", "job", r.key.job, "task", r.key.task, "for", j.id, "machine", r.m.block.Machine)
-			if !r.sent {
+			if !r.start.Sent() {
 				s.drop(r)
 				continue
 			}
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"reedtrack/internal/binding"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
 )
@@ -25,7 +26,7 @@
 		w.ctx = ctx
 		w.nodes = []*simNode{{name: "n0"}}
 		n := New(w.set, w.set.Defaults(), storage.NewClientOver(&wire{s: w.store, rnd: rand.New(rand.NewPCG(1, 1))}, 300, 200, 1),
-			simCloud{w}, nil, w.direct)
+			simCloud{w}, nil, w.direct(0))
 		s := Service{n}
 		submit := func(old, new string) int {
 			code, _ := s.Submit(ctx, []byte(strings.Replace(submission, old, new, 1)))
@@ -97,7 +98,7 @@
 	if sh.report(m, &protocol.Report{Machine: "m", Stint: 2, Tally: 8, Tasks: []protocol.TaskReport{{Task: "wk-1/0", Try: 1, Status: protocol.Running}}}, now) {
 		t.Error("an old report was taken in")
 	}
-	if len(m.stray) != 0 || m.tally != 9 {
+	if o, _ := m.line.Report(2, 9); len(m.stray) != 0 || o != binding.Old {
 		t.Error("an old report changed something")
 	}
 }
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"reedtrack/internal/binding"
 	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/stages"
@@ -24,7 +25,7 @@
 	m       *machine
 	try     uint64
 	status  string
-	sent    bool      // the start has gone out, or a report showed the task
+	start   binding.Start
 	began   time.Time // first seen running
 	adopted bool      // began before this controller looked on
 	halt    bool      // wanted gone
@@ -117,8 +118,7 @@
 	size    placement.Vector
 	used    placement.Vector
 	address string
-	stint   uint64
-	tally   uint64
+	line    binding.Line[taskKey]
 	runs    map[taskKey]*run
 	cleared map[taskKey]uint64 // ended tasks to be forgotten by the worker
 	stray   map[taskKey]uint64 // tasks that have no business here, to be halted
@@ -126,7 +126,6 @@
 	// silent for so long that its tasks are gone. Only then is a task that it
 	// does not list absent.
 	settled  bool
-	heard    bool      // has reported to this holder
 	answered time.Time // last answer that may have renewed the worker's lease
 	expired  bool
 	gone     bool      // the cloud says so
@@ -140,15 +139,19 @@
 	idle     time.Time
 	granted  time.Time       // under this lease; zero: before it
 	images   map[string]bool // images fetched for this holder's tasks
+	direct   directState
 }
 
+// heard tells whether the machine has reported to this holder.
+func (m *machine) heard() bool { return m.line.Heard() }
+
 func (m *machine) free() placement.Vector { return m.size.Sub(m.used) }
 
 func (m *machine) kind() kind { return kind{m.block.Breed, m.block.Zone, m.block.Spot} }
 
 // usable tells whether new tasks may be placed on the machine.
 func (m *machine) usable() bool {
-	return m.settled && m.heard && !m.expired && !m.bad && !m.slow && !m.release && m.takenAt.IsZero() && len(m.stray) == 0 && !m.odd
+	return m.settled && m.heard() && !m.expired && !m.bad && !m.slow && !m.release && m.takenAt.IsZero() && len(m.stray) == 0 && !m.odd
 }
 
 // shard is a unit of jobs, blocks and quota shares held by this controller.
@@ -182,6 +185,7 @@
 	// unread jobs have a record that can't be read: they are left alone.
 	unread map[string]bool
 	stages *stages.Recorder
+	guards binding.Guards // left out by a test
 }
 
 // kind is a type of machine, in a zone, spot or ordinary.
@@ -280,7 +284,7 @@
 	}
 	j.ended = true
 	for _, r := range j.runs {
-		if !r.sent {
+		if !r.start.Sent() {
 			s.drop(r)
 			continue
 		}
@@ -408,6 +412,7 @@
 // lost accounts for a machine that has certainly dropped all its tasks.
 func (s *shard) lost(m *machine) {
 	m.expired, m.settled = true, true
+	m.line.Void()
 	clear(m.stray)
 	clear(m.cleared)
 	for _, r := range m.runs {
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -72,8 +72,7 @@
 	if thorough {
 		n.weighed = now
 	}
-	halts := map[int]bool{}
-	for i, s := range n.shards {
+	for _, s := range n.shards {
 		s.news = false
 		for id := range n.gone {
 			if m := s.machines[id]; m != nil && !m.gone {
@@ -93,19 +92,12 @@
 			if m.bad || m.slow {
 				n.bad[m.block.Machine] = true
 			}
-			for _, r := range m.runs {
-				if r.halt && r.sent && r.haltOut.IsZero() {
-					halts[i] = true
-				}
-			}
 		}
 	}
 	clear(n.gone)
 	took := time.Since(start)
 	n.mu.Unlock()
-	for i := range halts {
-		n.sendHalts(i)
-	}
+	n.dispatch()
 	return took
 }
 
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -50,6 +50,7 @@
 	on       map[string]*worker // where a started task is
 	use      map[string]float64
 	starts   int
+	directs  int // messages sent straight to workers and carried out
 	broken   []string
 	largest  [8]int // most machines that each shard has had
 	wg       sync.WaitGroup
@@ -145,7 +146,7 @@
 	w.mu.Unlock()
 	wr := &wire{s: w.store, rnd: rand.New(rand.NewPCG(uint64(w.intn(1e6)), 7)), bad: 0.02, old: old}
 	st := storage.NewClientOver(wr, set.Deployment.State.RPS, set.Deployment.State.WriteRPS, 3)
-	n := New(&set, op, st, simCloud{w}, peers, w.direct)
+	n := New(&set, op, st, simCloud{w}, peers, w.direct(i))
 	n.cpu = func() time.Duration { return 0 }
 	if w.tweak != nil {
 		w.tweak(n)
@@ -587,25 +588,58 @@
 	m.tasks[o.Task] = n
 }
 
-// direct delivers commands sent straight to a worker, some of them late.
-func (w *world) direct(ctx context.Context, address string, d protocol.Direct) error {
-	delay := time.Duration(1+w.intn(30)) * time.Millisecond
-	if w.chance(0.1) {
-		delay = time.Duration(w.intn(60)) * time.Second
-	}
-	w.goes(func() {
-		time.Sleep(delay)
+// direct delivers commands that a controller sends straight to a worker: some
+// never leave, some arrive up to a minute late, long after they were given up,
+// and some answers are lost.
+func (w *world) direct(from int) Direct {
+	return func(ctx context.Context, address string, d protocol.Direct) DirectAnswer {
 		w.mu.Lock()
-		defer w.mu.Unlock()
-		m := w.workers[address]
-		if m == nil || m.dead || d.Baton < m.baton || d.Stint != m.stint {
-			return
+		cut, fate := w.nodes[from].cutW, w.rnd.IntN(100)
+		delay := time.Duration(1+w.rnd.IntN(30)) * time.Millisecond
+		late := time.Duration(w.rnd.IntN(60)) * time.Second
+		w.mu.Unlock()
+		time.Sleep(delay)
+		if fate < 4 {
+			return DirectAnswer{Outcome: Unsent}
 		}
-		m.baton = d.Baton
-		m.tally++
-		m.obey(d.Orders)
-	})
-	return nil
+		answer := make(chan DirectAnswer, 1)
+		w.goes(func() {
+			if fate < 14 || cut {
+				time.Sleep(late)
+			}
+			w.mu.Lock()
+			m := w.workers[address]
+			for m != nil && time.Now().Before(m.hung) && w.ctx.Err() == nil {
+				// It stays in the socket until the machine goes on.
+				w.mu.Unlock()
+				time.Sleep(100 * time.Millisecond)
+				w.mu.Lock()
+			}
+			defer w.mu.Unlock()
+			if m == nil || m.dead || m.stint == 0 || w.ctx.Err() != nil {
+				return
+			}
+			m.lease(time.Now())
+			a := DirectAnswer{Outcome: Denied}
+			if d.Baton >= m.baton && d.Stint == m.stint {
+				a.Outcome = Done
+				m.baton = d.Baton
+				w.directs++
+				m.obey(d.Orders)
+			}
+			a.Report = m.report()
+			if fate < 96 {
+				answer <- a
+			}
+		})
+		select {
+		case a := <-answer:
+			time.Sleep(delay)
+			return a
+		case <-time.After(4 * time.Second):
+			return DirectAnswer{}
+		}
+	}
 }
 
 // Users.
--- /dev/null
+++ b/internal/courier/courier_test.go
@@ -0,0 +1,92 @@
+package courier
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+var rules = Rules{Report: 5 * time.Second, Rate: 20, Most: 10}
+
+// Among random errands those that go out are the ones that a plain look at all
+// of them would choose, within the budget, and what is under way is bounded.
+func TestPick(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range 300 {
+		d := NewDesk(rules)
+		now := time.Unix(1e9, 0)
+		sent, under := 0, 0
+		for range 40 {
+			var list []Errand
+			for i := range rnd.IntN(40) {
+				list = append(list, Errand{Worker: i, Rank: rnd.IntN(4), Orders: 1 + rnd.IntN(9), Since: time.Duration(rnd.IntN(7000)) * time.Millisecond, Halts: rnd.IntN(4) == 0})
+			}
+			load := rnd.Float64()
+			picked := d.Pick(slices.Clone(list), load, now)
+			under += len(picked)
+			sent += len(picked)
+			if under > rules.Most || d.Flying() != under {
+				t.Fatalf("%d under way, the desk says %d", under, d.Flying())
+			}
+			least := 9
+			for _, e := range list {
+				if rules.Wait(e.Since) < worth || load > busy && e.Rank > 0 || load > full {
+					if slices.Contains(picked, e) {
+						t.Fatalf("%+v goes out at load %g", e, load)
+					}
+				} else if !slices.Contains(picked, e) {
+					least = min(least, e.Rank)
+				}
+			}
+			for _, e := range picked {
+				if e.Rank > least {
+					t.Fatalf("%+v goes out before one of rank %d", e, least)
+				}
+			}
+			for ; under > 0 && rnd.IntN(3) > 0; under-- {
+				d.Done(true)
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		if most := int(rules.Rate * (4 + 2)); sent > most {
+			t.Fatalf("%d messages, at most %d", sent, most)
+		}
+	}
+}
+
+// When answers stay away messages are all but given up, until one is answered.
+func TestSilence(t *testing.T) {
+	d := NewDesk(rules)
+	now := time.Unix(1e9, 0)
+	list := func() []Errand {
+		var l []Errand
+		for i := range 10 {
+			l = append(l, Errand{Worker: i, Orders: 1})
+		}
+		return l
+	}
+	for range d.Pick(list(), 0, now) {
+		d.Done(false)
+	}
+	tries := 0
+	for range 100 { // ten seconds
+		now = now.Add(100 * time.Millisecond)
+		for range d.Pick(list(), 0, now) {
+			tries++
+			d.Done(false)
+		}
+	}
+	if tries < 8 || tries > 10 {
+		t.Errorf("%d tries in ten seconds of silence", tries)
+	}
+	now = now.Add(time.Second)
+	d.Pick(list(), 0, now)
+	d.Done(true)
+	if got := len(d.Pick(list(), 0, now)); got != 10 {
+		t.Errorf("%d go out after an answer", got)
+	}
+	if a, b := rules.Hold(1, 0), rules.Hold(4, 1); a != 10*time.Second || b <= 4*a {
+		t.Errorf("held for %v and %v", a, b)
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -45,6 +46,7 @@
 	sent         time.Time
 	tasks        map[string]*task
 	changed      chan struct{}
+	address      string // where orders come straight to it
 }
 
 type task struct {
@@ -145,13 +147,62 @@
 		if m.up {
 			status = "running"
 		}
-		l.Machines = append(l.Machines, protocol.ListedMachine{ID: id, Breed: m.kind.Breed, Zone: m.kind.Zone,
+		l.Machines = append(l.Machines, protocol.ListedMachine{ID: id, Address: m.address, Breed: m.kind.Breed, Zone: m.kind.Zone,
 			Spot: m.kind.Spot, Status: status, AgeS: time.Since(m.born).Seconds()})
 	}
 	slices.SortFunc(l.Machines, func(a, b protocol.ListedMachine) int { return strings.Compare(a.ID, b.ID) })
 	return l
 }
 
+// report is the worker's report; the fleet's lock is held.
+func (m *machine) report() protocol.Report {
+	m.tally++
+	r := protocol.Report{Machine: m.id, Address: m.address, Breed: m.kind.Breed, Zone: m.kind.Zone, Spot: m.kind.Spot, Stint: m.stint, Tally: m.tally, Baton: m.baton}
+	for _, t := range m.tasks {
+		r.Tasks = append(r.Tasks, t.TaskReport)
+	}
+	return r
+}
+
+// listen takes orders that come straight to the worker, until it is released.
+func (m *machine) listen() (stop func()) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return func() {} // it is told by its reports alone
+	}
+	m.f.mu.Lock()
+	m.address = ln.Addr().String()
+	m.f.mu.Unlock()
+	srv := &http.Server{Handler: http.HandlerFunc(m.serve), ReadHeaderTimeout: 5 * time.Second}
+	go srv.Serve(ln)
+	return func() { srv.Close() }
+}
+
+func (m *machine) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	m.f.mu.Lock()
+	defer m.f.mu.Unlock()
+	if r.URL.Path != "/do" {
+		answerJSON(w, 200, m.report())
+		return
+	}
+	var d protocol.Direct
+	if json.Unmarshal(body, &d) != nil || d.Baton == 0 || d.Stint == 0 {
+		answerJSON(w, 400, protocol.Failure{Error: "baton or stint is missing"})
+		return
+	}
+	if d.Baton < m.baton || d.Stint != m.stint {
+		answerJSON(w, 409, m.report())
+		return
+	}
+	m.baton = d.Baton
+	for _, o := range d.Orders {
+		m.obey(o)
+	}
+	m.poke()
+	answerJSON(w, 200, m.report())
+}
+
 // run is the worker: it reports until its machine is released.
 func (m *machine) run() {
 	var names []string
@@ -160,6 +211,8 @@
 	}
 	slices.Sort(names)
 	at := names[0]
+	stop := m.listen()
+	defer stop()
 	m.f.mu.Lock()
 	m.up, m.sent = true, time.Now()
 	m.f.mu.Unlock()
@@ -174,11 +227,7 @@
 			m.stint++
 			m.sent = time.Now()
 		}
-		m.tally++
-		rep := protocol.Report{Machine: m.id, Breed: m.kind.Breed, Zone: m.kind.Zone, Spot: m.kind.Spot, Stint: m.stint, Tally: m.tally, Baton: m.baton}
-		for _, t := range m.tasks {
-			rep.Tasks = append(rep.Tasks, t.TaskReport)
-		}
+		rep := m.report()
 		m.f.mu.Unlock()
 		sent := time.Now()
 		status, orders, to := m.f.checkin(m.f.Nodes[at], rep)
--- a/internal/transport/cloud.go
+++ b/internal/transport/cloud.go
@@ -59,14 +59,6 @@
 	return page, err
 }
 
-// SendDirect returns a function that sends commands straight to workers.
-func SendDirect() func(ctx context.Context, address string, d protocol.Direct) error {
-	client := NewClient(2, 2*time.Second)
-	return func(ctx context.Context, address string, d protocol.Direct) error {
-		return client.Do(ctx, http.MethodPost, "http://"+address+"/do", d, nil)
-	}
-}
-
 func isTrouble(body []byte) bool {
 	var f protocol.Failure
 	return json.Unmarshal(body, &f) != nil || f.Error != "no capacity"
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,3 +161,57 @@
 		t.Error(page)
 	}
 }
+
+// A message to a worker that was never connected is known not to have left; one
+// that was not answered, or not so that it can be read, may have been carried
+// out.
+func TestWorkers(t *testing.T) {
+	const body = `{"reed":"m","breed":"b","yard":"z","stint":1,"tally":7,"parts":[{"part":"wk-1/0","try":3,"status":"fetching"}]}`
+	var mode atomic.Value
+	mode.Store("")
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		raw, _ := io.ReadAll(r.Body)
+		switch mode.Load() {
+		case "hang":
+			<-r.Context().Done()
+		case "close":
+			c, _, _ := w.(http.Hijacker).Hijack()
+			c.Close()
+		case "no report":
+			w.Write([]byte("{}"))
+		case "refuse":
+			w.WriteHeader(http.StatusConflict)
+			w.Write([]byte(body))
+		default:
+			var d protocol.Direct
+			if err := json.Unmarshal(raw, &d); r.URL.Path == "/do" && (err != nil || d.Baton != 4 || len(d.Orders) != 1) {
+				t.Errorf("%s: %v", raw, err)
+			}
+			w.Write([]byte(body))
+		}
+	}))
+	defer srv.Close()
+	w := NewWorkers()
+	w.Answer = 300 * time.Millisecond
+	addr := srv.Listener.Addr().String()
+	d := protocol.Direct{Baton: 4, Stint: 1, Orders: []protocol.Order{{Verb: protocol.VerbStart, Task: "wk-1/0", Try: 3}}}
+	for _, c := range []struct {
+		mode   string
+		status int
+		report bool
+	}{{"", 200, true}, {"refuse", 409, true}, {"no report", 200, false}, {"hang", 0, false}, {"close", 0, false}} {
+		mode.Store(c.mode)
+		if got := w.Do(t.Context(), addr, d); !got.Left || got.Status != c.status || (got.Report != nil) != c.report {
+			t.Errorf("%q: %+v", c.mode, got)
+		}
+	}
+	mode.Store("")
+	if got := w.Inspect(t.Context(), addr); got.Status != 200 || got.Report.Tally != 7 || len(got.Report.Tasks) != 1 {
+		t.Errorf("%+v", got)
+	}
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	ln.Close()
+	if got := w.Do(t.Context(), ln.Addr().String(), d); got.Left || got.Status != 0 {
+		t.Errorf("nobody there: %+v", got)
+	}
+}
