--- a/internal/coordination/stages.go
+++ b/internal/coordination/stages.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"reedtrack/internal/stages"
@@ -63,12 +66,65 @@
 	}
 }
 
-// tellStages logs where the time went since the start.
+// tellStages logs where the time went since the start, and more often what the
+// shards have, use and lack.
 func (n *Node) tellStages(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, n.op.Stages)
-		for _, l := range n.stages.Lines() {
-			slog.Info("stages", "of", l.String())
+	const pictures = 5
+	for i := 1; ctx.Err() == nil; i++ {
+		sleep(ctx, n.op.Stages/pictures)
+		n.mu.Lock()
+		for _, k := range n.shardNumbers() {
+			slog.Info("picture", "shard", k, "of", n.shards[k].picture())
 		}
+		n.mu.Unlock()
+		if i%pictures == 0 {
+			for _, l := range n.stages.Lines() {
+				slog.Info("stages", "of", l.String())
+			}
+		}
+	}
+}
+
+// picture is what a shard has, uses and lacks, in processors, and for each
+// class how many tasks run and wait, those within a guarantee apart.
+func (s *shard) picture() string {
+	var have, used, unready, silent, booting float64
+	for _, m := range s.machines {
+		switch {
+		case m.usable():
+			have += m.size[0]
+			used += m.used[0]
+		case m.expired:
+			silent += m.size[0]
+		default:
+			unready += m.size[0]
+		}
+	}
+	for _, w := range s.coming {
+		booting += float64(w.Count)
+	}
+	type count struct{ runs, waits, within, unsure int }
+	by := map[string]*count{}
+	for _, j := range s.jobs {
+		c := by[j.spec.Class]
+		if c == nil {
+			c = &count{}
+			by[j.spec.Class] = c
+		}
+		c.runs += len(j.runs)
+		w := j.waiting()
+		c.waits += w
+		if j.within {
+			c.within += w
+		}
+		if j.unsure {
+			c.unsure += w
+		}
+	}
+	out := fmt.Sprintf("machines=%d cores=%.0f used=%.0f unready=%.0f silent=%.0f coming=%.0f settled=%v", len(s.machines), have, used, unready, silent, booting, s.settled)
+	for _, name := range slices.Sorted(maps.Keys(by)) {
+		c := by[name]
+		out += fmt.Sprintf(" %s:runs=%d,waits=%d,within=%d,unsure=%d", name, c.runs, c.waits, c.within, c.unsure)
 	}
+	return out
 }
