--- a/internal/coordination/stages.go
+++ b/internal/coordination/stages.go
@@ -88,12 +88,15 @@
 // picture is what a shard has, uses and lacks, in processors, and for each
 // class how many tasks run and wait, those within a guarantee apart.
 func (s *shard) picture() string {
-	var have, used, unready, silent, booting float64
+	var have, used, wide, unready, silent, booting float64
 	for _, m := range s.machines {
 		switch {
 		case m.usable():
 			have += m.size[0]
 			used += m.used[0]
+			if free := m.size[0] - m.used[0]; free >= 4 {
+				wide += free
+			}
 		case m.expired:
 			silent += m.size[0]
 		default:
@@ -121,7 +124,10 @@
 			c.unsure += w
 		}
 	}
-	out := fmt.Sprintf("machines=%d cores=%.0f used=%.0f unready=%.0f silent=%.0f coming=%.0f settled=%v", len(s.machines), have, used, unready, silent, booting, s.settled)
+	out := fmt.Sprintf("machines=%d cores=%.0f used=%.0f wide=%.0f unready=%.0f silent=%.0f coming=%.0f settled=%v", len(s.machines), have, used, wide, unready, silent, booting, s.settled)
+	for _, name := range slices.Sorted(maps.Keys(s.shares)) {
+		out += fmt.Sprintf(" %s=%.0f/%.0f", name, s.used[name].Cores, s.shares[name].Cores)
+	}
 	for _, name := range slices.Sorted(maps.Keys(by)) {
 		c := by[name]
 		out += fmt.Sprintf(" %s:runs=%d,waits=%d,within=%d,unsure=%d", name, c.runs, c.waits, c.within, c.unsure)
