--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -116,11 +116,12 @@
 	return math.MaxInt32
 }
 
-// defaultFill is what the processor has been seen to bear, which a record of
-// the usual size holds, but where values are small at least what leaves a
-// controller the sockets to take two more shards over.
+// defaultFill is nearly what a shard can have: work that is split among shards
+// waits in one beside idle machines of another, and every step towards fewer was
+// worth something. A holder whose processor does not bear it gets no new jobs
+// all the same. Before grants are divided a record holds less.
 func (s *Settings) defaultFill() int {
-	return max(1, min(s.Capacity(), s.Machines()), s.Machines()/3)
+	return max(1, s.Machines()*9/10)
 }
 
 // MostWaits is how many jobs one may wait for: their names take at most
