An accepted job's repetition is never refused, whatever is wrong with it

Cause: a submission that could not be read as a job was answered 400 before anybody asked whether its id had been accepted, and a record over what may be kept was answered 422 (limits may fall after the job was accepted). Change: 400 and 422 are given only once the state service has said that the id is not known; without it 503. JobIDOf reads the id alone.

--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -35,8 +35,7 @@
 func (s Service) Submit(ctx context.Context, body []byte) (int, any) {
 	j, err := protocol.ParseJob(body)
 	if err != nil {
-		refusals.Do(func() { slog.Info("submission refused", "err", err) })
-		return refuse(err)
+		return s.malformed(ctx, body, err)
 	}
 	came := s.Node.stages.Now()
 	st, known, err := s.Node.Submit(ctx, j)
@@ -51,6 +50,25 @@
 	return http.StatusCreated, st
 }
 
+// malformed answers a submission that can't be read as a job. One that repeats an
+// accepted job under its id is answered by how that stands, whatever else is wrong
+// with it: a 400 would tell the user that the job does not exist. Whether it was
+// accepted is known to the state service alone; without it nothing is refused.
+func (s Service) malformed(ctx context.Context, body []byte, why error) (int, any) {
+	id, ok := protocol.JobIDOf(body)
+	if ok {
+		st, found, err := s.Node.Poll(ctx, id)
+		switch {
+		case err != nil:
+			return refuse(err)
+		case found:
+			return http.StatusOK, st
+		}
+	}
+	refusals.Do(func() { slog.Info("submission refused", "job", id, "err", why) })
+	return refuse(why)
+}
+
 // Poll answers GET /v1/jobs/{id}.
 func (s Service) Poll(ctx context.Context, id string) (int, any) {
 	return s.about(ctx, id, s.Node.Poll)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -56,21 +56,20 @@
 			return st, false, err
 		}
 	}
+	rec := storage.Job{Spec: *j, Shard: shard, AtMS: now.UnixMilli()}
+	if never == nil {
+		n.mu.Lock()
+		never = n.fitsRecord(&rec)
+		n.mu.Unlock()
+	}
 	if never != nil {
-		// A job that was accepted is never refused, even should the catalog
-		// have changed since.
+		// A job that was accepted is never refused, even should the catalog, or
+		// what a record may hold, have changed since.
 		if st, found, err := n.Poll(ctx, j.ID); err != nil || found {
 			return st, true, err
 		}
 		return st, false, never
 	}
-	rec := storage.Job{Spec: *j, Shard: shard, AtMS: now.UnixMilli()}
-	n.mu.Lock()
-	err = n.fitsRecord(&rec)
-	n.mu.Unlock()
-	if err != nil {
-		return st, false, err
-	}
 	_, err = n.state.MultiSoon(ctx, protocol.Txn{
 		When:   []protocol.Cond{{Path: storage.JobKey(j.ID)}, {Path: storage.EndedKey(j.ID)}},
 		Writes: []protocol.Write{{Put: storage.JobKey(j.ID), Data: rec}}})
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -104,6 +104,15 @@
 // ValidJobID tells whether id has the form that users give their jobs.
 func ValidJobID(id string) bool { return jobID.MatchString(id) }
 
+// JobIDOf reads the id alone of a submission that may be wrong in all else.
+func JobIDOf(raw []byte) (id string, ok bool) {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(raw, &fields) != nil || json.Unmarshal(fields["id"], &id) != nil || !ValidJobID(id) {
+		return "", false
+	}
+	return id, true
+}
+
 // ParseJob reads a submission. Every error is a *BadField.
 func ParseJob(raw []byte) (*Job, error) {
 	if len(raw) > MaxBody {
