One bound on how long a cancelled task stays, checked at start and by tests

The sum was computed in the check of the settings alone, and no test compared it with anything. config.CancelBound names each term; the check refuses with field and sum (deployment.workers.cancel_s where the lease is derived), 'check' prints it, TestCancelledWhileRefused compares the longest that any task stayed. A second look at the clock in Checkin looked at the lease, not at the copy. Tests: faults of the simulated world are data, played by one runner, at random or by a script; watches wait through a refusal and then deliver; transactions late or with the answer lost; copies of reports; deaf and mute machines; processes that stand still. What users are told is checked with porcupine.

--- a/cmd/reedtrack/main.go
+++ b/cmd/reedtrack/main.go
@@ -93,9 +93,7 @@
 	fmt.Printf("holder-lease-s     %.3f, acts for %.3f s after a renewal\n", t.HolderLease.Seconds(), t.Act.Seconds())
 	fmt.Printf("worker is gone     after %.3f s of silence\n", t.WorkerGone.Seconds())
 	fmt.Printf("status-listen      %s\n", or(op.Status, "none"))
-	w := set.Deployment.Workers
-	fmt.Printf("safe               holder lease %.3f + workers.lease_s %g + margins %.3f < workers.cancel_s %g\n",
-		op.HolderLease.Seconds(), w.LeaseS, 2*set.Margin().Seconds(), w.CancelS)
+	fmt.Printf("cancelled          %s < workers.cancel_s %g\n", config.Describe(set.CancelBound(op)), set.Deployment.Workers.CancelS)
 	return nil
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -135,7 +135,7 @@
 func (s *Settings) LoadOperator(path string) (Operator, error) {
 	op := s.Defaults()
 	if path == "" {
-		return op, s.Safe("settings", op)
+		return op, s.Safe("settings", "deployment.workers.cancel_s", op)
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -207,7 +207,11 @@
 	if !(op.Idle >= 0 && op.Idle <= 1000) {
 		return op, &FieldError{file, "idle-boots", "must be from 0 to 1000"}
 	}
-	return op, s.Safe(file, op)
+	field := "holder-lease-s"
+	if x.HolderLease == nil { // as derived: the platform's own settings leave no room
+		file, field = "settings", "deployment.workers.cancel_s"
+	}
+	return op, s.Safe(file, field, op)
 }
 
 // LoadOutputs reads only what the operators' file says of task outputs, for
@@ -239,23 +243,6 @@
 	return o, err
 }
 
-// Safe checks the inequality on which cancellations rest: a holder that was
-// cut off acts no longer than its lease, and its workers no longer than theirs
-// after that; both must be over when a cancellation has to be complete.
-func (s *Settings) Safe(file string, op Operator) error {
-	w := s.Deployment.Workers
-	if op.HolderLease < time.Second || op.HolderLease > 10*time.Minute {
-		return &FieldError{file, "holder-lease-s", "must be from 1 to 600"}
-	}
-	sum := op.HolderLease + Seconds(w.LeaseS) + 2*s.Margin()
-	if sum >= Seconds(w.CancelS) {
-		return &FieldError{file, "holder-lease-s", fmt.Sprintf(
-			"holder lease %v + workers.lease_s %vs + margins %v = %v must be below workers.cancel_s %vs",
-			op.HolderLease, w.LeaseS, 2*s.Margin(), sum, w.CancelS)}
-	}
-	return nil
-}
-
 // Timing derives the timings that the safety arguments use.
 func (s *Settings) Timing(op Operator) Timing {
 	shrink := func(d time.Duration) time.Duration { return d - time.Duration(2*Drift*float64(d)) }
--- a/internal/coordination/answer.go
+++ b/internal/coordination/answer.go
@@ -36,9 +36,9 @@
 	if s.news {
 		n.wake()
 	}
-	// The time again: reading the report may have taken a while.
-	now = n.now()
-	if !now.Before(n.validTil) {
+	// Lease and copy again: reading the report may have taken a while, and on a
+	// processor that others use a process may stand still at any point.
+	if now = n.now(); !n.valid(now) {
 		return 503, orders, ""
 	}
 	return 200, protocol.Orders{Baton: s.baton(m), Orders: s.orders(m, now)}, ""
--- a/internal/coordination/hearing_test.go
+++ b/internal/coordination/hearing_test.go
@@ -25,7 +25,7 @@
 	}
 	j := &protocol.Job{ID: "wk-000001", Class: "x", Team: "blue", Shape: "array", Urgency: "normal", Tasks: tasks,
 		Cores: 3, RAM: 2, Image: "i", GuessS: 2000, Spot: true}
-	w.goes(func() { w.user(j, 3*time.Second, false) })
+	w.goes((&user{w: w, j: j, wait: 3 * time.Second}).run)
 	for range 200 {
 		time.Sleep(time.Second)
 		w.mu.Lock()
--- a/internal/coordination/rules_test.go
+++ b/internal/coordination/rules_test.go
@@ -18,14 +18,16 @@
 	for seed := uint64(1); seed <= seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
+			var w *world
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(seed, nil)
+				w = newWorld(seed, nil)
 				w.chained = true
 				play(t, w)
 				for _, b := range w.broken {
 					t.Error(b)
 				}
 			})
+			w.linear(t)
 		})
 	}
 }
--- a/internal/coordination/wire_test.go
+++ b/internal/coordination/wire_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,8 +24,17 @@
 	rnd *rand.Rand
 	cut bool // the store refuses this controller alone
 	bad float64
-	old bool   // plays a controller of the version before: see hide
-	own []byte // the last transaction that wrote a controller's key
+	// late is the share of transactions that get no answer and are carried out
+	// seconds later, after newer ones; lost, at once, so that only the answer is
+	// lost. busy holds up every request and answer, as a process that stands still
+	// or a slow service does.
+	late, lost float64
+	busy, slow func() time.Duration
+	note       func(what string) // what became of the above
+	sent       uint64            // transactions so far, and the newest carried out
+	newest     uint64
+	old        bool   // plays a controller of the version before: see hide
+	own        []byte // the last transaction that wrote a controller's key
 }
 
 // newKeys are the keys that the version before does not know.
@@ -58,21 +68,45 @@
 	}
 	w.mu.Lock()
 	delay := time.Duration(1+w.rnd.IntN(20)) * time.Millisecond
-	cut, fate, late := w.cut, w.rnd.Float64(), time.Duration(w.rnd.IntN(20000))*time.Millisecond
-	bad := w.bad
+	fate, late := w.rnd.Float64(), time.Duration(w.rnd.IntN(20000))*time.Millisecond
+	bad, behind, unsaid := w.bad, w.late, w.lost
 	if bytes.Contains(body, []byte(`"put":"`+storage.AliveKey(""))) {
 		w.own = body
 	}
+	if r.URL.Path == "/multi" {
+		w.sent++
+	}
+	number := w.sent
 	w.mu.Unlock()
+	if w.slow != nil {
+		delay += w.slow()
+	}
 	time.Sleep(delay)
+	w.held()
 	ctx := r.Context()
 	status, answer := 503, any(protocol.Failure{Error: "trouble"})
 	switch {
-	case cut && r.URL.Path == "/follow":
+	case r.URL.Path == "/follow":
+		// An open watch waits through a refusal, and then delivers.
+		for w.refused() && ctx.Err() == nil {
+			pause(ctx, 50*time.Millisecond)
+		}
+		if ctx.Err() == nil {
+			status, answer = w.s.Serve(ctx, r.Method, r.URL.Path, r.URL.Query(), body)
+		}
+		for w.refused() && ctx.Err() == nil {
+			pause(ctx, 50*time.Millisecond)
+		}
+	case w.refused():
+	case w.old && bytes.Contains(body, []byte(storage.MarkKey(""))):
+	case r.URL.Path == "/multi" && fate < behind:
+		time.AfterFunc(2*time.Second+late/2, func() { w.carryOut(r, body, number, "late write") })
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case (r.URL.Path == "/multi" || strings.HasSuffix(r.URL.Path, "/renew")) && fate < behind+unsaid:
+		w.carryOut(r, body, number, "answer lost")
 		<-ctx.Done()
 		return nil, ctx.Err()
-	case cut:
-	case w.old && bytes.Contains(body, []byte(storage.MarkKey(""))):
 	case r.URL.Path == "/multi" && fate < bad:
 		// No answer; carried out now, later or never.
 		if fate < bad*2/3 {
@@ -85,7 +119,13 @@
 		return nil, ctx.Err()
 	default:
 		status, answer = w.s.Serve(ctx, r.Method, r.URL.Path, r.URL.Query(), body)
+		if r.URL.Path == "/multi" && status == 200 {
+			w.mu.Lock()
+			w.newest = max(w.newest, number)
+			w.mu.Unlock()
+		}
 	}
+	w.held()
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
@@ -96,6 +136,48 @@
 	return &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(raw)), Header: http.Header{}, Request: r}, nil
 }
 
+// carryOut carries out a transaction that is not answered.
+func (w *wire) carryOut(r *http.Request, body []byte, number uint64, what string) {
+	status, _ := w.s.Serve(context.Background(), r.Method, r.URL.Path, r.URL.Query(), body)
+	w.mu.Lock()
+	behind := number < w.newest
+	w.mu.Unlock()
+	if w.note != nil {
+		if status == 200 {
+			what += " done"
+		} else {
+			what += " refused"
+		}
+		if behind {
+			what += " behind a newer one"
+		}
+		w.note(what)
+	}
+}
+
+func (w *wire) refused() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
+// held holds a request or an answer up for as long as the world says.
+func (w *wire) held() {
+	if w.busy == nil {
+		return
+	}
+	for d := w.busy(); d > 0; d = w.busy() {
+		time.Sleep(d)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // recorder notes transactions and answers that they succeeded.
 type recorder struct{ sent *[]protocol.Txn }
 
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -31,7 +31,7 @@
 	asks    map[string][]string
 	next    int
 	noCloud bool
-	cutZone string // its workers and the controllers don't reach each other
+	cutZone string // its workers and the controllers outside don't reach each other
 	most    int    // machines that the cloud has
 	fill    int    // machines a shard
 	tasks   int    // of a job, at most
@@ -40,7 +40,12 @@
 	fell    bool   // the state service's limits have fallen
 	waited  int    // jobs that named others
 	tweak   func(*Node)
-	rented  func() // called once, between the first rental and its answer, which is lost
+	shape   func(k int, j *protocol.Job, u *user) // changes what a day's users want
+	script  []fault                               // what goes wrong; nil: anything, at random
+	begun   time.Time                             // when the troubles began
+	shards  int                                   // 0: as many as controllers
+	trials
+	rented func() // called once, between the first rental and its answer, which is lost
 
 	specs    map[string]*protocol.Job
 	told     map[string]string // the newest answer that must not be taken back
@@ -54,7 +59,13 @@
 	starts   int
 	directs  int // messages sent straight to workers and carried out
 	broken   []string
-	largest  [8]int // most machines that each shard has had
+	hist     *history
+	notes    map[string][]time.Time // what happened, to prove that a meeting took place
+	worst    time.Duration          // the longest that a task stayed after its job was cancelled
+	lateOn   int                    // starts after a confirmed cancellation
+	asked    map[string]time.Time   // when a question about a job was last answered
+	reign    uint64                 // the leader's, as last seen
+	largest  [8]int                 // most machines that each shard has had
 	wg       sync.WaitGroup
 	ctx      context.Context
 }
@@ -66,6 +77,12 @@
 	stop context.CancelFunc
 	old  bool // plays the version before
 	cutW bool // workers do not reach it
+	cutP bool // the other controllers and it don't reach each other
+	cutU bool // users do not reach it
+	in   bool // inside the zone that is cut off
+	// still: the process stands still until then: nothing that it made up leaves,
+	// and nothing arrives.
+	still time.Time
 	// starts: being started; of two that find it down one starts it, as two
 	// processes of one name never run at once.
 	starts bool
@@ -86,13 +103,23 @@
 	d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 300, 200, 16, 12
 	d.Cloud.RPS, d.Cloud.ListLagS = 10, 2
 	d.Limits.CPUShare = 0.1
-	return &world{set: set, store: standin.NewStore(), most: 10, fill: 2, tasks: 9, rnd: rand.New(rand.NewPCG(seed, 1)), tweak: tweak,
+	return &world{set: set, store: standin.NewStore(), most: 10, fill: 2, tasks: 9, trials: trials{bad: 0.02}, rnd: rand.New(rand.NewPCG(seed, 1)), tweak: tweak,
 		workers: map[string]*worker{}, ready: map[string]time.Time{}, asks: map[string][]string{},
 		specs: map[string]*protocol.Job{}, told: map[string]string{}, accepted: map[string]bool{},
 		gone: map[string]time.Time{}, first: map[string]time.Time{}, cancel: map[string]bool{}, done: map[string]bool{},
-		on: map[string]*worker{}, use: map[string]float64{}}
+		on: map[string]*worker{}, use: map[string]float64{}, hist: newHistory(), notes: map[string][]time.Time{}, asked: map[string]time.Time{}}
 }
 
+// note remembers that something happened.
+func (w *world) note(what string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noted(what)
+}
+
+// noted is note where the world's lock is held.
+func (w *world) noted(what string) { w.notes[what] = append(w.notes[what], time.Now()) }
+
 func (w *world) intn(n int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -123,9 +150,18 @@
 func (p simPeer) Call(timeout time.Duration, in, out any) error {
 	time.Sleep(time.Duration(1+p.w.intn(5)) * time.Millisecond)
 	p.w.mu.Lock()
-	n := p.w.nodes[p.to].node
+	to := p.w.nodes[p.to]
+	n, cut := to.node, to.cutP || to.in
+	for _, o := range p.w.nodes {
+		cut = cut || o.name == p.from && (o.cutP || o.in || time.Now().Before(o.still))
+	}
+	still := time.Until(to.still)
 	p.w.mu.Unlock()
-	if n == nil || p.w.chance(0.02) {
+	if still > 0 {
+		time.Sleep(min(still, timeout))
+		cut = cut || still > timeout
+	}
+	if n == nil || cut || p.w.chance(0.02) {
 		return errors.New("no link")
 	}
 	*out.(*Reply) = n.Hear(*in.(*Status))
@@ -137,6 +173,9 @@
 	set.HostName = w.nodes[i].name
 	op := set.Defaults()
 	op.Fill = w.fill // so that all shards get jobs
+	if w.shards > 0 {
+		op.Shards = w.shards
+	}
 	peers := map[string]Peer{}
 	for k, o := range w.nodes {
 		if k != i {
@@ -146,7 +185,8 @@
 	w.mu.Lock()
 	old := w.nodes[i].old
 	w.mu.Unlock()
-	wr := &wire{s: w.store, rnd: rand.New(rand.NewPCG(uint64(w.intn(1e6)), 7)), bad: 0.02, old: old}
+	wr := &wire{s: w.store, rnd: rand.New(rand.NewPCG(uint64(w.intn(1e6)), 7)), bad: w.bad, old: old, note: w.note, slow: w.slowNow, busy: func() time.Duration { return w.holdsUp(i) }}
+	wr.late, wr.lost = w.lateWrites, w.lostAnswers
 	st := storage.NewClientOver(wr, set.Deployment.State.RPS, set.Deployment.State.WriteRPS, 3)
 	n := New(&set, op, st, simCloud{w}, peers, w.direct(i))
 	n.cpu = func() time.Duration { return 0 }
@@ -218,6 +258,9 @@
 		w.workers[m.id] = m
 		names = append(names, m.id)
 		boot := time.Duration(float64(time.Second) * m.breed.ReadyS * (0.6 + w.rnd.Float64()))
+		if w.quick {
+			boot = time.Duration(w.rnd.IntN(2000)) * time.Millisecond
+		}
 		if w.rnd.IntN(12) > 0 { // a few never come up
 			m.boots = time.Now().Add(boot)
 			w.wg.Add(1)
@@ -302,6 +345,8 @@
 	sent         time.Time // when the last answered report was sent
 	tasks        map[string]*wtask
 	sick         bool
+	deaf         bool // answers and direct commands to it are lost
+	mute         bool // it reaches no controller
 	hung         time.Time
 	changed      bool
 	node         int
@@ -330,6 +375,12 @@
 func (m *worker) off(t *wtask) {
 	if t.active {
 		t.active = false
+		if at, ok := m.w.gone[t.job.ID]; ok {
+			m.w.worst = max(m.w.worst, time.Since(at))
+			if time.Now().Before(m.hung) {
+				m.w.noted("cancelled task ended on a machine that hung")
+			}
+		}
 		delete(m.w.on, t.name)
 		m.w.use[t.job.Team] -= t.job.Cores
 	}
@@ -344,6 +395,8 @@
 	}
 	if at, ok := w.gone[j.ID]; ok && time.Since(at).Seconds() > w.set.Deployment.Workers.CancelS {
 		w.breakf("ran_cancelled: %s starts", t.name)
+	} else if ok {
+		w.lateOn++ // its command was under way
 	}
 	for _, id := range j.Waits {
 		if !w.allDone(id) {
@@ -459,6 +512,9 @@
 			if m.w.done[t.name] {
 				t.until = now
 			}
+			if time.Since(m.boots) < 2*time.Second+time.Second && m.w.quick {
+				m.w.noted("work on a machine that has just come up")
+			}
 		case protocol.Running:
 			m.off(t)
 			t.status, t.cause = protocol.Ended, protocol.CauseDone
@@ -466,6 +522,7 @@
 				t.cause = protocol.CauseError
 			} else {
 				m.w.done[t.name] = true
+				m.w.taskDone(t.job)
 			}
 		case protocol.Saving:
 			m.off(t)
@@ -488,12 +545,18 @@
 	w := m.w
 	time.Sleep(time.Duration(1+w.intn(30)) * time.Millisecond)
 	w.mu.Lock()
-	n, cut := w.nodes[to].node, w.nodes[to].cutW || w.cutZone == m.r.Zone
+	n, cut, still := w.nodes[to].node, !w.reaches(m.r.Zone, w.nodes[to]) || m.mute, time.Until(w.nodes[to].still)
 	held := w.rnd.IntN(60) == 0
 	late := time.Duration(4+w.rnd.IntN(40)) * time.Second
+	if still > 4*time.Second { // it waits in the socket of a process that stands still
+		held, late = true, still
+	}
+	if !cut {
+		w.copied(r, to)
+	}
 	w.mu.Unlock()
 	status, orders, answerTo := 0, protocol.Orders{}, ""
-	if held { // delivered, but so late that nobody waits for the answer
+	if held && !cut { // delivered, but so late that nobody waits for the answer
 		w.goes(func() {
 			time.Sleep(late)
 			if n := w.node(to); n != nil && w.ctx.Err() == nil {
@@ -502,6 +565,7 @@
 		})
 		time.Sleep(4 * time.Second)
 	} else if n != nil && !cut {
+		time.Sleep(max(still, 0))
 		status, orders, answerTo = n.Checkin(r)
 		time.Sleep(time.Duration(1+w.intn(30)) * time.Millisecond)
 		if w.chance(0.02) { // the answer is lost
@@ -510,10 +574,21 @@
 		}
 	}
 	w.mu.Lock()
+	if stands := time.Until(w.nodes[to].still); stands > 0 && status != 0 {
+		w.mu.Unlock() // the answer was made up and has not left
+		time.Sleep(min(stands, 4*time.Second))
+		w.mu.Lock()
+	}
 	defer w.mu.Unlock()
 	if m.dead {
 		return
 	}
+	if m.deaf && status == 200 {
+		w.noted("report answered that a deaf machine sent")
+	}
+	if m.deaf || time.Since(sent) > 4*time.Second {
+		status = 0
+	}
 	switch {
 	case status == 200:
 		if m.epoch != epoch || orders.Baton < m.baton {
@@ -602,16 +677,22 @@
 func (w *world) direct(from int) Direct {
 	return func(ctx context.Context, address string, d protocol.Direct) DirectAnswer {
 		w.mu.Lock()
-		cut, fate := w.nodes[from].cutW || w.workers[address] != nil && w.cutZone == w.workers[address].r.Zone, w.rnd.IntN(100)
+		cut, fate := w.workers[address] != nil && !w.reaches(w.workers[address].r.Zone, w.nodes[from]), w.rnd.IntN(100)
+		still, slow := time.Until(w.nodes[from].still), time.Duration(0)
+		if w.slowDirect > 0 {
+			slow = time.Duration(w.rnd.Int64N(int64(w.slowDirect)))
+		}
 		delay := time.Duration(1+w.rnd.IntN(30)) * time.Millisecond
 		late := time.Duration(w.rnd.IntN(60)) * time.Second
 		w.mu.Unlock()
-		time.Sleep(delay)
+		// The process may stand still between its look at the clock and the sending.
+		time.Sleep(delay + max(still, 0))
 		if fate < 4 {
 			return DirectAnswer{Outcome: Unsent}
 		}
 		answer := make(chan DirectAnswer, 1)
 		w.goes(func() {
+			time.Sleep(slow)
 			if fate < 14 || cut {
 				time.Sleep(late)
 			}
@@ -624,7 +705,7 @@
 				w.mu.Lock()
 			}
 			defer w.mu.Unlock()
-			if m == nil || m.dead || m.stint == 0 || w.ctx.Err() != nil {
+			if m == nil || m.dead || m.stint == 0 || m.deaf || w.ctx.Err() != nil {
 				return
 			}
 			m.lease(time.Now())
@@ -633,6 +714,12 @@
 				a.Outcome = Done
 				m.baton = d.Baton
 				w.directs++
+				if m.mute {
+					w.noted("direct command to a mute machine")
+				}
+				if slow > 3*time.Second && len(m.tasks) > 0 {
+					w.noted("direct command held for seconds")
+				}
 				m.obey(d.Orders)
 			}
 			a.Report = m.report()
@@ -650,107 +737,6 @@
 	}
 }
 
-// Users.
-
-// user submits a job, polls it and may cancel it; every answer is held against
-// what is known.
-func (w *world) user(j *protocol.Job, wait time.Duration, quit bool) {
-	time.Sleep(wait)
-	ctx := w.ctx
-	w.mu.Lock()
-	if w.chained && !j.Standing() && w.rnd.IntN(2) == 0 {
-		w.chain(j)
-	}
-	w.specs[j.ID] = j
-	w.mu.Unlock()
-	for ok := false; !ok && ctx.Err() == nil; {
-		if n := w.node(w.intn(len(w.nodes))); n != nil {
-			c := *j
-			st, _, err := n.Submit(ctx, &c)
-			if errors.As(err, new(*ErrNever)) {
-				w.mu.Lock()
-				w.breakf("refused: %s: %v", j.ID, err)
-				w.mu.Unlock()
-			}
-			if err == nil {
-				ok = true
-				w.mu.Lock()
-				w.first[j.ID] = time.Now()
-				w.mu.Unlock()
-				w.saw(j.ID, st.Status)
-			}
-		}
-		time.Sleep(time.Second)
-	}
-	w.mu.Lock()
-	w.accepted[j.ID] = true
-	w.mu.Unlock()
-	withdraw := time.Now().Add(time.Duration(w.intn(60)) * time.Second)
-	for ctx.Err() == nil {
-		time.Sleep(time.Duration(500+w.intn(5000)) * time.Millisecond)
-		n := w.node(w.intn(len(w.nodes)))
-		if n == nil {
-			continue
-		}
-		var st protocol.JobStatus
-		var found bool
-		var err error
-		if quit && time.Now().After(withdraw) {
-			w.mu.Lock()
-			w.cancel[j.ID] = true
-			w.mu.Unlock()
-			st, found, err = n.Withdraw(ctx, j.ID)
-		} else {
-			st, found, err = n.Poll(ctx, j.ID)
-		}
-		if err != nil || ctx.Err() != nil {
-			continue
-		}
-		if !found {
-			w.mu.Lock()
-			w.breakf("forgotten: %s", j.ID)
-			w.mu.Unlock()
-			continue
-		}
-		w.saw(j.ID, st.Status)
-		if _, found, err := n.Poll(ctx, "wk-9"+j.ID[3:]); err == nil && found {
-			w.mu.Lock()
-			w.breakf("invented: wk-9%s", j.ID[3:])
-			w.mu.Unlock()
-		}
-	}
-}
-
-// saw checks an answer against the world.
-func (w *world) saw(id, status string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if was := w.told[id]; was != "" && was != status {
-		w.breakf("went_back: %s from %s to %s", id, was, status)
-	}
-	switch status {
-	case protocol.Done:
-		for t := range w.specs[id].Tasks {
-			if !w.done[protocol.TaskName(id, t)] {
-				w.breakf("not_done: %s", protocol.TaskName(id, t))
-			}
-		}
-		w.told[id] = status
-	case protocol.Pending, protocol.Running:
-		if at := w.cutOff(id); !at.IsZero() && time.Since(at).Seconds() > w.set.Deployment.Workers.CancelS {
-			w.breakf("orphaned: %s is %s", id, status)
-		}
-	case protocol.Withdrawn:
-		if !w.cancelled(id) {
-			w.breakf("went_back: %s was never cancelled", id)
-		}
-		if _, ok := w.gone[id]; !ok {
-			w.gone[id] = time.Now()
-		}
-		w.told[id] = status
-	}
-}
-
 // chain makes a job wait for some that were accepted.
 func (w *world) chain(j *protocol.Job) {
 	var can []string
@@ -874,34 +860,29 @@
 		if w.intn(3) == 0 {
 			j.SaveS, j.SaveTake = 5, 2
 		}
-		quit := w.intn(4) == 0
+		u := &user{w: w, j: j, quit: w.intn(4) == 0}
 		if k%8 == 7 {
-			j.Shape, j.Tasks, quit = "standing", 1+w.intn(3), true
+			j.Shape, j.Tasks, u.quit = "standing", 1+w.intn(3), true
+		}
+		u.wait = time.Duration(w.intn(int(rough.Seconds()))) * time.Second
+		if w.shape != nil {
+			w.shape(k, j, u)
 		}
-		wait := time.Duration(w.intn(int(rough.Seconds()))) * time.Second
-		w.goes(func() { w.user(j, wait, quit) })
+		w.goes(u.run)
+	}
+	w.begun = time.Now()
+	w.goes(w.watchLeader)
+	end := w.begun.Add(rough)
+	if w.script != nil {
+		w.perform(w.script)
+		time.Sleep(time.Until(end))
 	}
-	end := time.Now().Add(rough)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(3+w.intn(12)) * time.Second)
 		w.measure()
-		w.trouble()
-	}
-	w.store.Outage(false)
-	w.mu.Lock()
-	w.noCloud, w.cutZone = false, ""
-	for _, n := range w.nodes {
-		n.cutW = false
-		if n.wire != nil {
-			n.wire.mu.Lock()
-			n.wire.cut = false
-			n.wire.mu.Unlock()
-		}
-	}
-	for _, m := range w.workers {
-		m.sick = false
+		w.strike(w.trouble())
 	}
-	w.mu.Unlock()
+	w.recover()
 	time.Sleep(calm)
 	w.mu.Lock()
 	for _, why := range w.store.Over() {
@@ -911,6 +892,9 @@
 		if w.told[id] == "" {
 			w.breakf("never over: %s", id)
 		}
+		if ago := time.Since(w.asked[id]); ago > 75*time.Second {
+			w.breakf("forgotten: no answer about %s for %v", id, ago)
+		}
 	}
 	w.mu.Unlock()
 	stop()
@@ -927,95 +911,6 @@
 	}
 }
 
-// trouble makes one thing go wrong.
-func (w *world) trouble() {
-	i := w.intn(3)
-	back := time.Duration(1+w.intn(12)) * time.Second
-	some := func(f func(m *worker)) {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		var up []*worker
-		for _, m := range w.workers {
-			if m.stint > 0 && !m.dead {
-				up = append(up, m)
-			}
-		}
-		if len(up) > 0 {
-			f(up[w.rnd.IntN(len(up))])
-		}
-	}
-	switch w.intn(11) {
-	case 10: // a zone is cut off from everything
-		w.mu.Lock()
-		w.cutZone = []string{"a", "b"}[i%2]
-		w.mu.Unlock()
-		w.goes(func() { time.Sleep(5 * back); w.mu.Lock(); w.cutZone = ""; w.mu.Unlock() })
-	case 0:
-		w.ends(back, i)
-	case 1:
-		w.ends(back, 0, 1, 2)
-	case 2:
-		w.store.Outage(true)
-		w.goes(func() { time.Sleep(back); w.store.Outage(false) })
-	case 3, 4:
-		w.mu.Lock()
-		wr := w.nodes[i].wire
-		w.mu.Unlock()
-		wr.mu.Lock()
-		wr.cut = true
-		wr.mu.Unlock()
-		w.goes(func() { time.Sleep(3 * back); wr.mu.Lock(); wr.cut = false; wr.mu.Unlock() })
-	case 5:
-		w.mu.Lock()
-		w.nodes[i].cutW = true
-		w.mu.Unlock()
-		w.goes(func() { time.Sleep(4 * back); w.mu.Lock(); w.nodes[i].cutW = false; w.mu.Unlock() })
-	case 6:
-		some(func(m *worker) { m.die() })
-	case 7:
-		some(func(m *worker) { m.hung = time.Now().Add(3 * back) })
-	case 8:
-		some(func(m *worker) { m.sick = true })
-	case 9:
-		some(func(m *worker) {
-			s := 10.0
-			m.warn = &s
-			m.changed = true
-			w.wg.Add(1)
-			go func() {
-				defer w.wg.Done()
-				time.Sleep(10 * time.Second)
-				w.mu.Lock()
-				defer w.mu.Unlock()
-				if w.workers[m.id] == m {
-					m.die()
-					delete(w.workers, m.id)
-				}
-			}()
-		})
-	}
-}
-
-// ends ends processes, which are started again after a while or, as often, after
-// a moment, and then mostly end some more times.
-func (w *world) ends(back time.Duration, which ...int) {
-	times, soon := 1, w.intn(2) == 0
-	if soon {
-		back = time.Duration(5+w.intn(300)) * time.Millisecond
-		times = 1 + w.intn(5)
-	}
-	for _, i := range which {
-		w.goes(func() {
-			for range times {
-				w.kill(i)
-				time.Sleep(back)
-				w.startIfDown(i)
-				time.Sleep(time.Duration(w.intn(2000)) * time.Millisecond)
-			}
-		})
-	}
-}
-
 func (w *world) startIfDown(i int) {
 	w.mu.Lock()
 	n := w.nodes[i]
