--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -896,13 +896,14 @@
 	}
 	w.recover()
 	time.Sleep(calm)
+	why := w.whyOpen()
 	w.mu.Lock()
 	for _, why := range w.store.Over() {
 		w.breakf("over a limit of the state service: %s", why)
 	}
 	for id := range w.accepted {
 		if w.told[id] == "" {
-			w.breakf("never over: %s", id)
+			w.breakf("never over: %s: %s", id, why[id])
 		}
 		if ago := time.Since(w.asked[id]); ago > 75*time.Second {
 			w.breakf("forgotten: no answer about %s for %v", id, ago)
@@ -912,6 +913,34 @@
 	stop()
 }
 
+// whyOpen tells, of each job that is not over, how it stands with its holder.
+func (w *world) whyOpen() map[string]string {
+	why := map[string]string{}
+	for i := range w.nodes {
+		n := w.node(i)
+		if n == nil {
+			continue
+		}
+		n.mu.Lock()
+		for k, s := range n.shards {
+			for id, j := range s.jobs {
+				text := fmt.Sprintf("%s %s %d of %d done, %d waiting, unsure %v held %v leaving %v to %d, errors on %v till %v;", n.set.HostName, j.spec.Team,
+					j.done.Len(), j.spec.Tasks, j.waiting(), j.unsure, j.held, j.leaving, j.movedTo, j.errOn, j.notTill.Format(time.TimeOnly))
+				for t, r := range j.runs {
+					text += fmt.Sprintf(" %d on %s %s start %+v halt %v,", t, r.m.block.Machine, r.status, r.start, r.halt)
+				}
+				text += fmt.Sprintf(" shard %d settled %v uses %v of %v, unknown %v, %d coming, asks for %v, valid %v:", k, s.settled, s.used, s.shares, s.unknown(), s.awaited(), s.rent, n.valid(n.now()))
+				for _, m := range s.sorted() {
+					text += fmt.Sprintf(" %s %v uses %v settled %v expired %v usable %v;", m.block.Machine, m.kind(), m.used, m.settled, m.expired, m.usable())
+				}
+				why[id] = text
+			}
+		}
+		n.mu.Unlock()
+	}
+	return why
+}
+
 // measure notes how large the shards are.
 func (w *world) measure() {
 	if n := w.node(0); n != nil {
