--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -917,31 +917,36 @@
 	stop()
 }
 
-// whyOpen tells, of each job that is not over, how it stands with its holder.
+// whyOpen tells, of each job that is not over, how it stands with its holder, and of
+// all shards what they have and want of its team's limit.
 func (w *world) whyOpen() map[string]string {
-	why := map[string]string{}
+	why, shares := map[string]string{}, ""
 	for i := range w.nodes {
 		n := w.node(i)
 		if n == nil {
 			continue
 		}
 		n.mu.Lock()
+		shares += fmt.Sprintf(" %s valid %v leads %v:", n.set.HostName, n.valid(n.now()), n.lead != nil)
 		for k, s := range n.shards {
+			shares += fmt.Sprintf(" shard %d settled %v shares %v record %v uses %v wants %v unknown %v;", k, s.settled, s.shares, n.grantRecs[k].v.Shares, s.used, s.wanted, s.unknown())
 			for id, j := range s.jobs {
-				text := fmt.Sprintf("%s %s %d of %d done, %d waiting, unsure %v held %v leaving %v to %d, errors on %v till %v;", n.set.HostName, j.spec.Team,
-					j.done.Len(), j.spec.Tasks, j.waiting(), j.unsure, j.held, j.leaving, j.movedTo, j.errOn, j.notTill.Format(time.TimeOnly))
+				text := fmt.Sprintf("shard %d, %s %g cores, %d of %d done, %d waiting, unsure %v held %v leaving %v to %d, errors on %v till %v, %d coming, asks for %v:", k, j.spec.Team, j.spec.Cores,
+					j.done.Len(), j.spec.Tasks, j.waiting(), j.unsure, j.held, j.leaving, j.movedTo, j.errOn, j.notTill.Format(time.TimeOnly), s.awaited(), s.rent)
 				for t, r := range j.runs {
 					text += fmt.Sprintf(" %d on %s %s start %+v halt %v,", t, r.m.block.Machine, r.status, r.start, r.halt)
 				}
-				text += fmt.Sprintf(" shard %d settled %v uses %v of %v, unknown %v, %d coming, asks for %v, valid %v:", k, s.settled, s.used, s.shares, s.unknown(), s.awaited(), s.rent, n.valid(n.now()))
 				for _, m := range s.sorted() {
-					text += fmt.Sprintf(" %s %v uses %v settled %v expired %v usable %v;", m.block.Machine, m.kind(), m.used, m.settled, m.expired, m.usable())
+					text += fmt.Sprintf(" %s %v uses %v settled %v expired %v stray %v odd %v usable %v;", m.block.Machine, m.kind(), m.used, m.settled, m.expired, m.stray, m.odd, m.usable())
 				}
 				why[id] = text
 			}
 		}
 		n.mu.Unlock()
 	}
+	for id := range why {
+		why[id] += shares
+	}
 	return why
 }
 
