--- a/internal/config/cancel.go
+++ b/internal/config/cancel.go
@@ -50,9 +50,9 @@
 func Describe(bound []Span) string {
 	var parts []string
 	for _, b := range bound {
-		parts = append(parts, fmt.Sprintf("%s %v", b.What, b.Lasts))
+		parts = append(parts, fmt.Sprintf("%s %v", b.What, b.Lasts.Round(time.Millisecond)))
 	}
-	return fmt.Sprintf("%s = %v", strings.Join(parts, " + "), Total(bound))
+	return fmt.Sprintf("%s = %v", strings.Join(parts, " + "), Total(bound).Round(time.Millisecond))
 }
 
 // Safe checks what cancellations rest on: all of a cancelled job must be off its
