--- a/internal/coordination/faults_test.go
+++ b/internal/coordination/faults_test.go
@@ -458,7 +458,7 @@
 func (w *world) watch() {
 	var none time.Time // since when no controller is up
 	for w.ctx.Err() == nil {
-		pause(w.ctx, 20*time.Millisecond)
+		sleep(w.ctx, 20*time.Millisecond)
 		w.mu.Lock()
 		up := 0
 		for _, n := range w.nodes {
--- a/internal/coordination/wire_test.go
+++ b/internal/coordination/wire_test.go
@@ -93,13 +93,13 @@
 	case r.URL.Path == "/follow":
 		// An open watch waits through a refusal, and then delivers.
 		for w.refused() && ctx.Err() == nil {
-			pause(ctx, 50*time.Millisecond)
+			sleep(ctx, 50*time.Millisecond)
 		}
 		if ctx.Err() == nil {
 			status, answer = w.s.Serve(ctx, r.Method, r.URL.Path, r.URL.Query(), body)
 		}
 		for w.refused() && ctx.Err() == nil {
-			pause(ctx, 50*time.Millisecond)
+			sleep(ctx, 50*time.Millisecond)
 		}
 	case w.refused():
 	case w.old && bytes.Contains(body, []byte(storage.MarkKey(""))):
@@ -185,13 +185,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // recorder notes transactions and answers that they succeeded.
 type recorder struct{ sent *[]protocol.Txn }
 
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -525,7 +525,7 @@
 			if m.w.done[t.name] {
 				t.until = now
 			}
-			if time.Since(m.boots) < 2*time.Second+time.Second && m.w.quick {
+			if time.Since(m.boots) < 3*time.Second && m.w.quick {
 				m.w.noted("work on a machine that has just come up")
 			}
 		case protocol.Running:
