--- a/cmd/outputsbench/figures.go
+++ b/cmd/outputsbench/figures.go
@@ -103,7 +103,7 @@
 			return err
 		}
 		var sent, refused atomic.Int64
-		ctx, cancel := context.WithTimeout(background, cli.Seconds)
+		ctx, cancel := context.WithTimeout(background, cli.RateFor)
 		defer cancel()
 		var wg sync.WaitGroup
 		for i := range c.writers {
@@ -132,7 +132,7 @@
 		}
 		wg.Wait()
 		cancel()
-		mb := float64(sent.Load()) / 1e6 / cli.Seconds.Seconds()
+		mb := float64(sent.Load()) / 1e6 / cli.RateFor.Seconds()
 		now, most := f.stores[0].rss()
 		time.Sleep(2 * time.Second)
 		f.stop()
@@ -179,7 +179,7 @@
 		return 0, err
 	}
 	start, n := time.Now(), 0
-	for i := 0; time.Since(start) < cli.Seconds/2; i++ {
+	for i := 0; time.Since(start) < cli.RateFor/2; i++ {
 		at := (i * (512 << 10)) % (len(text) - 512<<10)
 		b := text[at : at+512<<10]
 		n += len(b)
--- a/cmd/outputsbench/main.go
+++ b/cmd/outputsbench/main.go
@@ -29,7 +29,7 @@
 var cli struct {
 	Bin     string        `default:"target/outputs" help:"The program that is measured."`
 	Dir     string        `default:"" help:"Where its data goes; a temporary directory if absent."`
-	Seconds time.Duration `default:"10s" help:"For each figure that is a rate."`
+	RateFor time.Duration `name:"seconds" default:"10s" help:"How long each figure that is a rate is measured."`
 	Kills   int           `default:"1000" help:"How often stores are killed."`
 	Tasks   int           `default:"100000" help:"Tasks of the large job."`
 	GB      float64       `default:"1" help:"Output for the restart, in GB of 100 B lines."`
--- a/cmd/reedtrack/demo.go
+++ b/cmd/reedtrack/demo.go
@@ -33,7 +33,6 @@
 type part struct {
 	name string
 	args []string
-	env  []string
 	up   string // address that it listens at
 	pid  int
 }
--- a/internal/outputs/disk/index.go
+++ b/internal/outputs/disk/index.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
 	pb "reedtrack/internal/outputs/outputsv1"
@@ -65,7 +66,7 @@
 		}
 	}()
 	db, err = bbolt.Open(path, 0o640, &bbolt.Options{Timeout: 2 * time.Second, FreelistType: bbolt.FreelistMapType, NoFreelistSync: true})
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, bbolterrors.ErrTimeout) {
 		return nil, ErrInUse
 	}
 	if err != nil {
--- a/internal/outputs/disk/read.go
+++ b/internal/outputs/disk/read.go
@@ -296,7 +296,8 @@
 	}
 	s.db.View(func(tx *bbolt.Tx) error {
 		cur, prefix := tx.Bucket(bBlocks).Cursor(), be64(id)
-		k, v := cur.Seek(blockKey(id, from))
+		var v []byte
+		k, _ := cur.Seek(blockKey(id, from))
 		if k == nil {
 			k, v = cur.Last()
 		} else {
