--- a/internal/coordination/answer.go
+++ b/internal/coordination/answer.go
@@ -41,7 +41,7 @@
 	if now = n.now(); !n.valid(now) {
 		return 503, orders, ""
 	}
-	return 200, protocol.Orders{Baton: s.baton(m), Orders: s.orders(m, now)}, ""
+	return 200, protocol.Orders{Token: s.token(m), Orders: s.orders(m, now)}, ""
 }
 
 func (n *Node) redirect(name string) string {
--- a/internal/coordination/checkin.go
+++ b/internal/coordination/checkin.go
@@ -4,7 +4,7 @@
 	"log/slog"
 	"time"
 
-	"reedtrack/internal/binding"
+	"reedtrack/internal/dispatch"
 	"reedtrack/internal/outage"
 	"reedtrack/internal/protocol"
 )
@@ -13,9 +13,9 @@
 // taken in before, and is not to be answered.
 func (s *shard) report(m *machine, r *protocol.Report, now time.Time) bool {
 	first := !m.heard()
-	same := !first && r.Stint == m.line.Stint()
-	order, grown := m.line.Report(r.Stint, r.Tally)
-	if order == binding.Old {
+	same := !first && r.Session == m.exchange.Session()
+	order, grown := m.exchange.Report(r.Session, r.Sequence)
+	if order == dispatch.Old {
 		return false
 	}
 	if grown {
@@ -34,7 +34,7 @@
 	}
 	m.address, m.direct.reported = r.Address, now
 	m.word, m.state = now, outage.Well
-	if order == binding.Behind {
+	if order == dispatch.Behind {
 		// What it lists was known from a newer answer of /do. The worker waits
 		// for orders all the same.
 		return true
@@ -43,7 +43,7 @@
 		m.idle = now // back after its lease, and empty
 	}
 	m.expired = false
-	if r.Baton >= s.baton(m) {
+	if r.Token >= s.token(m) {
 		m.settled = true
 	}
 	m.warn(r.WarningS, now)
@@ -52,13 +52,13 @@
 	m.odd = false
 	listed := s.follow(m, r, now, func(k taskKey, t protocol.TaskReport) bool {
 		s.foreign(m, k, t, now)
-		return m.runs[k] != nil && m.runs[k].try == t.Try
+		return m.runs[k] != nil && m.runs[k].attempt == t.Attempt
 	})
 	for k, x := range m.runs {
 		// The worker has one report in flight at a time: what it does not
 		// list now, though an earlier answer carried the start, it has
 		// dropped with that answer or forgotten.
-		if !listed[k] && x.start.Unlisted(r.Baton > s.baton(m), s.guards) {
+		if !listed[k] && x.start.Missing(r.Token > s.token(m), s.guards) {
 			s.drop(x)
 		}
 	}
@@ -81,7 +81,7 @@
 	listed := make(map[taskKey]bool, len(r.Tasks))
 	for _, t := range r.Tasks {
 		k := keyOf(t.Task)
-		if x := m.runs[k]; x != nil && x.try == t.Try {
+		if x := m.runs[k]; x != nil && x.attempt == t.Attempt {
 			listed[k] = true
 			s.update(m, x, t, now)
 		} else if other(k, t) {
@@ -93,7 +93,7 @@
 
 // update follows a task that this controller knows of.
 func (s *shard) update(m *machine, x *run, t protocol.TaskReport, now time.Time) {
-	x.start.Listed()
+	x.start.Reported()
 	if t.Status == protocol.Running && x.status != protocol.Running {
 		x.began = now
 		s.noteBegan(x)
@@ -121,9 +121,9 @@
 		s.news = true
 		s.failed(m, j, now)
 	}
-	m.line.Over(x.key, t.Try, &x.start)
+	m.exchange.Ended(x.key, t.Attempt, &x.start)
 	s.drop(x)
-	m.cleared[x.key] = t.Try
+	m.cleared[x.key] = t.Attempt
 }
 
 // failed weighs a task's error: mostly the machine is at fault, but a job that
@@ -158,38 +158,38 @@
 			j.finish(k.task)
 			s.news = s.news || j.complete()
 		}
-		m.cleared[k] = t.Try
+		m.cleared[k] = t.Attempt
 		return
 	}
 	if j == nil || k.task >= j.spec.Tasks || j.done.Has(k.task) || j.runs[k.task] != nil || m.settled && !j.unsure {
-		m.stray[k] = t.Try
+		m.stray[k] = t.Attempt
 		return
 	}
-	x := &run{key: k, job: j, m: m, try: t.Try, status: t.Status, began: now, adopted: true}
-	x.start.Listed()
+	x := &run{key: k, job: j, m: m, attempt: t.Attempt, status: t.Status, began: now, adopted: true}
+	x.start.Reported()
 	s.attach(x)
 }
 
 // orders answers a report that has been taken in.
 func (s *shard) orders(m *machine, now time.Time) []protocol.Order {
 	out := []protocol.Order{}
-	for k, try := range m.cleared {
+	for k, attempt := range m.cleared {
 		j := s.jobs[k.job]
 		if j != nil && j.done.Has(k.task) && j.saved < j.done.Len() {
 			// The worker keeps the news until the record has it.
 			continue
 		}
-		if !m.line.Clear(k, try, s.guards) {
+		if !m.exchange.MayClear(k, attempt, s.guards) {
 			continue // a copy of its start may still come, and would start it anew
 		}
-		out = append(out, protocol.Order{Verb: protocol.VerbClear, Task: protocol.TaskName(k.job, k.task), Try: try})
+		out = append(out, protocol.Order{Verb: protocol.VerbClear, Task: protocol.TaskName(k.job, k.task), Attempt: attempt})
 	}
 	// What is to be stopped and may still be on its way straight to the worker
 	// is started first: an attempt that it has had is not started by a copy.
 	for k, x := range m.runs {
-		if x.halt && x.start.Bound() && s.guards&binding.NoFirst == 0 {
-			x.start.Answer()
-			out = append(out, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Try: x.try})
+		if x.halt && x.start.Bound() && s.guards&dispatch.WithoutStartHalt == 0 {
+			x.start.SentInAnswer()
+			out = append(out, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Attempt: x.attempt})
 		}
 	}
 	out = append(out, s.halts(m, now)...)
@@ -209,10 +209,10 @@
 		if x.halt || x.job.ended || !x.start.Owed() {
 			continue
 		}
-		if x.start.Answer(); x.out.IsZero() {
+		if x.start.SentInAnswer(); x.out.IsZero() {
 			x.out = now
 		}
-		out = append(out, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Try: x.try})
+		out = append(out, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Attempt: x.attempt})
 	}
 	return out
 }
@@ -221,14 +221,14 @@
 func (s *shard) halts(m *machine, now time.Time) []protocol.Order {
 	var out []protocol.Order
 	zero := 0.0
-	for k, try := range m.stray {
-		out = append(out, protocol.Order{Verb: protocol.VerbHalt, Task: protocol.TaskName(k.job, k.task), Try: try, MercyS: &zero})
+	for k, attempt := range m.stray {
+		out = append(out, protocol.Order{Verb: protocol.VerbHalt, Task: protocol.TaskName(k.job, k.task), Attempt: attempt, MercyS: &zero})
 	}
 	for k, x := range m.runs {
 		if x.halt && x.start.Sent() {
 			x.haltOut = now
 			mercy := x.mercy
-			out = append(out, protocol.Order{Verb: protocol.VerbHalt, Task: protocol.TaskName(k.job, k.task), Try: x.try, MercyS: &mercy})
+			out = append(out, protocol.Order{Verb: protocol.VerbHalt, Task: protocol.TaskName(k.job, k.task), Attempt: x.attempt, MercyS: &mercy})
 		}
 	}
 	return out
--- a/internal/coordination/dispatch.go
+++ b/internal/coordination/dispatch.go
@@ -7,8 +7,7 @@
 	"slices"
 	"time"
 
-	"reedtrack/internal/binding"
-	"reedtrack/internal/courier"
+	"reedtrack/internal/dispatch"
 	"reedtrack/internal/outage"
 	"reedtrack/internal/protocol"
 )
@@ -30,7 +29,7 @@
 	Unanswered Outcome = iota
 	Unsent             // it never left: no connection was made
 	Done               // carried out
-	Denied             // not carried out: token or stint did not match
+	Denied             // not carried out: token or session did not match
 )
 
 // directState is what is known of messages sent straight to a machine.
@@ -40,9 +39,8 @@
 	failed   int       // without an answer, in a row
 }
 
-// errand is a machine for which orders wait, as the courier's errands number
-// them.
-type errand struct {
+// target is a machine for which commands wait.
+type target struct {
 	s *shard
 	m *machine
 }
@@ -51,36 +49,38 @@
 // reports. What goes out so is carried by the next answer too until the worker
 // tells of it, so nothing depends on it.
 func (n *Node) dispatch() {
+	for _, o := range n.directMessages() {
+		go n.deliver(o)
+	}
+}
+
+// directMessages makes up the messages that are sent now.
+func (n *Node) directMessages() []outgoing {
 	now := n.now()
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if !n.valid(now) {
-		n.mu.Unlock()
-		return
+		return nil
 	}
-	var at []errand
-	var list []courier.Errand
+	var machines []target
+	var list []dispatch.Target
 	for _, i := range n.shardNumbers() {
 		s := n.shards[i]
 		for _, m := range s.sorted() {
-			if e, some := m.errand(now); some {
-				e.Worker = len(at)
-				at, list = append(at, errand{s, m}), append(list, e)
+			if t, some := m.target(now); some {
+				t.Worker = len(machines)
+				machines, list = append(machines, target{s, m}), append(list, t)
 			}
 		}
 	}
 	if len(list) == 0 {
-		n.mu.Unlock()
-		return
-	}
-	picked := n.desk.Pick(list, n.meter.busy, now)
-	var out []flight
-	for _, e := range picked {
-		out = append(out, n.board(at[e.Worker], now))
+		return nil
 	}
-	n.mu.Unlock()
-	for _, f := range out {
-		go n.deliver(f)
+	var out []outgoing
+	for _, t := range n.limiter.Pick(list, n.meter.busy, now) {
+		out = append(out, machines[t.Worker].message(now))
 	}
+	return out
 }
 
 func (n *Node) shardNumbers() []int {
@@ -92,25 +92,25 @@
 	return list
 }
 
-// errand tells what waits for a machine, if something does that may be sent
+// target tells what waits for a machine, if something does that may be sent
 // straight to it.
-func (m *machine) errand(now time.Time) (courier.Errand, bool) {
-	e := courier.Errand{Rank: int(protocol.Prod), Since: now.Sub(m.direct.reported)}
-	if !m.heard() || !m.settled || m.expired || m.release || m.gone || m.address == "" || m.line.Flying() || now.Before(m.direct.hold) {
-		return e, false
+func (m *machine) target(now time.Time) (dispatch.Target, bool) {
+	t := dispatch.Target{Rank: int(protocol.Prod), Since: now.Sub(m.direct.reported)}
+	if !m.heard() || !m.settled || m.expired || m.release || m.gone || m.address == "" || m.exchange.InFlight() || now.Before(m.direct.hold) {
+		return t, false
 	}
 	for _, x := range m.runs {
 		switch {
 		case x.halt && x.start.Known() && x.haltOut.IsZero():
-			e.Halts = true
+			t.Halts = true
 		case !x.halt && !x.job.ended && !m.bad && !x.start.Sent():
 		default:
 			continue
 		}
-		e.Orders++
-		e.Rank = min(e.Rank, rankOf(x.job))
+		t.Commands++
+		t.Rank = min(t.Rank, rankOf(x.job))
 	}
-	return e, e.Orders > 0
+	return t, t.Commands > 0
 }
 
 // rankOf orders what is sent: urgent work and work within a guarantee first.
@@ -122,53 +122,56 @@
 	return r
 }
 
-// flight is a message to a worker, and the runs whose starts it carries.
-type flight struct {
-	errand
+// outgoing is a message to a worker, and the runs whose starts it carries.
+type outgoing struct {
+	target
 	address string
-	d       protocol.Direct
-	f       binding.Flight
-	carried []*run
+	command protocol.Direct
+	message dispatch.Message
+	starts  []*run
 }
 
-// board makes up a message.
-func (n *Node) board(e errand, now time.Time) flight {
-	s, m := e.s, e.m
-	f := flight{errand: e, address: m.address, f: m.line.Send()}
-	f.d = protocol.Direct{Baton: s.baton(m), Stint: f.f.Stint, Orders: s.halts(m, now)}
+// message makes up a direct message. It carries halts and starts and never a
+// clear: one that came late would have the worker forget an attempt whose start
+// may arrive once more.
+func (t target) message(now time.Time) outgoing {
+	s, m := t.s, t.m
+	o := outgoing{target: t, address: m.address, message: m.exchange.Send()}
+	o.command = protocol.Direct{Token: s.token(m), Session: o.message.Session, Orders: s.halts(m, now)}
 	for k, x := range m.runs {
 		if x.halt || x.job.ended || m.bad || x.start.Sent() {
 			continue
 		}
-		f.f.Carry(&x.start)
+		o.message.Carry(&x.start)
 		x.out = now
-		f.carried = append(f.carried, x)
-		f.d.Orders = append(f.d.Orders, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Try: x.try})
+		o.starts = append(o.starts, x)
+		o.command.Orders = append(o.command.Orders, protocol.Order{Verb: protocol.VerbStart, Task: protocol.TaskName(k.job, k.task), Attempt: x.attempt})
 	}
-	return f
+	return o
 }
 
 // deliver sends a message and notes what came of it.
-func (n *Node) deliver(f flight) {
-	a := n.direct(context.Background(), f.address, f.d)
+func (n *Node) deliver(o outgoing) {
+	a := n.direct(context.Background(), o.address, o.command)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.desk.Done(a.Outcome == Done || a.Outcome == Denied)
-	if n.shards[f.s.index] != f.s || f.s.machines[f.m.block.Machine] != f.m {
-		return // another's by now, who has a higher baton
+	n.limiter.Finished(a.Outcome == Done || a.Outcome == Denied)
+	s, m := o.s, o.m
+	if n.shards[s.index] != s || s.machines[m.block.Machine] != m {
+		return // another's by now, who has a higher token
 	}
-	f.s.landed(&f, a, n.now())
+	s.finished(&o, a, n.now())
 	if a.Outcome == Unanswered || a.Outcome == Unsent {
-		slog.Debug("not reached straight away", "machine", f.m.block.Machine, "orders", len(f.d.Orders), "outcome", a.Outcome)
-		f.m.direct.failed++
-		f.m.direct.hold = n.now().Add(n.desk.Rules().Hold(f.m.direct.failed, rand.Float64()))
+		slog.Debug("not reached straight away", "machine", m.block.Machine, "orders", len(o.command.Orders), "outcome", a.Outcome)
+		m.direct.failed++
+		m.direct.hold = n.now().Add(n.limiter.Limits().Backoff(m.direct.failed, rand.Float64()))
 		return
 	}
-	f.m.direct.failed = 0
-	if f.s.freed {
-		f.s.fill(f.m, n.teams)
+	m.direct.failed = 0
+	if s.freed {
+		s.fill(m, n.teams)
 	}
-	if f.s.news || f.m.unsent() {
+	if s.news || m.unsent() {
 		n.wake()
 	}
 }
@@ -182,26 +185,26 @@
 	return false
 }
 
-// landed notes what became of a message's starts.
-func (s *shard) landed(f *flight, a DirectAnswer, now time.Time) {
-	m := f.m
+// finished notes what became of a message's starts.
+func (s *shard) finished(o *outgoing, a DirectAnswer, now time.Time) {
+	m := o.m
 	listed := map[taskKey]uint64{}
 	if a.Outcome == Done {
 		for _, t := range a.Report.Tasks {
-			listed[keyOf(t.Task)] = t.Try
+			listed[keyOf(t.Task)] = t.Attempt
 		}
 	}
 	settled := a.Outcome != Unanswered
-	for _, x := range f.carried {
+	for _, x := range o.starts {
 		switch {
 		case a.Outcome == Unanswered:
-		case a.Outcome == Done && listed[x.key] != x.try:
+		case a.Outcome == Done && listed[x.key] != x.attempt:
 			settled = false // answered, and yet it does not say
 		default:
-			f.f.Settled(&x.start)
+			o.message.Settled(&x.start)
 		}
 	}
-	m.line.Landed(f.f, settled)
+	m.exchange.Finished(o.message, settled)
 	if a.Outcome == Done {
 		s.said(m, a.Report, now)
 	}
@@ -211,13 +214,13 @@
 // It tells what is on the machine. What it does not list may be on its way in
 // the answer to a report.
 func (s *shard) said(m *machine, r *protocol.Report, now time.Time) {
-	if m.expired || !m.line.Said(r.Stint, r.Tally) {
+	if m.expired || !m.exchange.DirectReport(r.Session, r.Sequence) {
 		return
 	}
 	m.word, m.state = now, outage.Well
 	m.warn(r.WarningS, now)
 	listed := s.follow(m, r, now, func(taskKey, protocol.TaskReport) bool { return false })
-	if s.guards&binding.NoBehind != 0 {
+	if s.guards&dispatch.WithoutOrder != 0 {
 		for k, x := range m.runs {
 			if x.start.Sent() && !listed[k] {
 				s.drop(x)
--- a/internal/coordination/explore_test.go
+++ b/internal/coordination/explore_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"reedtrack/internal/binding"
+	"reedtrack/internal/dispatch"
 	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
@@ -28,26 +28,26 @@
 const exWorkers = 2
 
 type exWorker struct {
-	baton, stint, tally uint64
-	has                 map[string]exTask // by name
-	report              *protocol.Report  // made, and not yet at the holder
-	asked               bool              // waits for the answer to a report
-	answer              *protocol.Orders  // under way
-	after               bool              // the answer was made after the cancellation
-	renewed             bool              // has had an answer since its stint began
-	told                bool              // has had one that was made after the cancellation
+	token, session, sequence uint64
+	has                      map[string]exTask // by name
+	report                   *protocol.Report  // made, and not yet at the holder
+	asked                    bool              // waits for the answer to a report
+	answer                   *protocol.Orders  // under way
+	after                    bool              // the answer was made after the cancellation
+	renewed                  bool              // has had an answer since its session began
+	told                     bool              // has had one that was made after the cancellation
 }
 
 type exTask struct {
-	try    uint64
-	active bool
-	cause  string
+	attempt uint64
+	active  bool
+	cause   string
 }
 
 // exDirect is a message straight to a worker. gone: its sender has given it up.
 type exDirect struct {
 	to     int
-	f      flight
+	f      outgoing
 	d      protocol.Direct
 	gone   bool
 	reply  *DirectAnswer // executed, and its answer under way
@@ -56,10 +56,10 @@
 
 // exBounds say how often the rarer events happen, so that the explorer gets
 // deep.
-type exBounds struct{ sent, asks, tries, ends, expires, late, cancel, takeOver, handBack, stop int }
+type exBounds struct{ sent, asks, attempts, ends, expires, late, cancel, takeOver, handBack, stop int }
 
 type explorer struct {
-	guards  binding.Guards
+	guards  dispatch.Guards
 	bounds  exBounds
 	broken  string // what a holder does wrong on purpose
 	holder  *shard // of the job and, unless handed back, of both machines
@@ -78,10 +78,10 @@
 }
 
 // newExplorer begins with both machines heard of and nothing placed.
-func newExplorer(g binding.Guards, b exBounds, broken string) *explorer {
+func newExplorer(g dispatch.Guards, b exBounds, broken string) *explorer {
 	x := &explorer{guards: g, bounds: b, broken: broken, now: time.Unix(1e9, 0), terms: 10}
 	for i := range x.workers {
-		x.workers[i] = &exWorker{stint: 1, has: map[string]exTask{}}
+		x.workers[i] = &exWorker{session: 1, has: map[string]exTask{}}
 	}
 	x.holder = x.newHolder(0, 1)
 	x.addJob(9)
@@ -162,41 +162,41 @@
 		if s == x.holder && x.canPlace(m) {
 			out["place "+at] = func() { s.place(x.job, x.job.take(), m) }
 		}
-		if e, some := m.errand(x.now.Add(time.Second)); some && x.sent < x.bounds.sent {
+		if e, some := m.target(x.now.Add(time.Second)); some && x.sent < x.bounds.sent {
 			out["direct "+at] = func() {
 				_ = e
 				x.sent++
-				f := (&Node{}).board(errand{s, m}, x.now)
-				x.direct = append(x.direct, &exDirect{to: i, f: f, d: f.d, holder: s})
+				f := target{s, m}.message(x.now)
+				x.direct = append(x.direct, &exDirect{to: i, f: f, d: f.command, holder: s})
 			}
 		}
-		if !m.line.Flying() && m.heard() && x.bounds.asks > 0 {
+		if !m.exchange.InFlight() && m.heard() && x.bounds.asks > 0 {
 			out["ask "+at] = func() {
 				x.bounds.asks--
-				f := (&Node{}).board(errand{s, m}, x.now)
-				x.direct = append(x.direct, &exDirect{to: i, f: f, d: f.d, holder: s})
+				f := target{s, m}.message(x.now)
+				x.direct = append(x.direct, &exDirect{to: i, f: f, d: f.command, holder: s})
 			}
 		}
 		for name, t := range w.has {
 			if t.active && x.ends < x.bounds.ends {
-				out["end "+at] = func() { x.ends++; w.has[name] = exTask{try: t.try, cause: protocol.CauseHalted} }
+				out["end "+at] = func() { x.ends++; w.has[name] = exTask{attempt: t.attempt, cause: protocol.CauseHalted} }
 				out["done "+at] = func() {
 					x.ends++
 					x.done = true
-					w.has[name] = exTask{try: t.try, cause: protocol.CauseDone}
+					w.has[name] = exTask{attempt: t.attempt, cause: protocol.CauseDone}
 				}
 			}
 		}
 		if x.expires < x.bounds.expires && (len(w.has) > 0 || w.renewed) {
 			out["expire "+at] = func() {
 				x.expires++
-				w.stint++
+				w.session++
 				w.has, w.answer, w.report, w.asked, w.renewed = map[string]exTask{}, nil, nil, false, false
 			}
 		}
 		// Silent for longer than the lease: the worker has expired since its last
 		// answer, and none is under way.
-		if (w.stint > m.line.Stint() || x.broken == "impatient") && m.heard() && !w.renewed && w.answer == nil && !m.expired {
+		if (w.session > m.exchange.Session() || x.broken == "impatient") && m.heard() && !w.renewed && w.answer == nil && !m.expired {
 			out["silent "+at] = func() { s.lost(m); s.settle() }
 		}
 		for _, r := range m.runs {
@@ -274,16 +274,16 @@
 func (x *explorer) canPlace(m *machine) bool {
 	j := x.job
 	return !x.gone && x.holder.jobs[j.id] == j && !j.unsure && j.waiting() > 0 && j.takes(m) && m.free().Fits(j.need) &&
-		x.holder.room(j, map[string]team{"red": {limit: storage.Amount{Cores: 1}}}, x.holder.unknown()) > 0 && int(x.holder.tries) < x.bounds.tries
+		x.holder.room(j, map[string]team{"red": {limit: storage.Amount{Cores: 1}}}, x.holder.unknown()) > 0 && int(x.holder.attempts) < x.bounds.attempts
 }
 
 func (x *explorer) reportOf(i int) *protocol.Report {
 	w := x.workers[i]
-	w.tally++
-	r := &protocol.Report{Machine: exName(i), Address: exName(i), Breed: "small", Zone: "a", Stint: w.stint, Tally: w.tally, Baton: w.baton}
+	w.sequence++
+	r := &protocol.Report{Machine: exName(i), Address: exName(i), Breed: "small", Zone: "a", Session: w.session, Sequence: w.sequence, Token: w.token}
 	for _, name := range slices.Sorted(maps.Keys(w.has)) {
 		t := w.has[name]
-		st := protocol.TaskReport{Task: name, Try: t.try, Status: protocol.Running}
+		st := protocol.TaskReport{Task: name, Attempt: t.attempt, Status: protocol.Running}
 		if !t.active {
 			st.Status, st.Cause = protocol.Ended, t.cause
 		}
@@ -298,17 +298,17 @@
 		x.workers[i].asked = false // 503
 		return
 	}
-	o := &protocol.Orders{Baton: s.baton(m), Orders: s.orders(m, x.now)}
+	o := &protocol.Orders{Token: s.token(m), Orders: s.orders(m, x.now)}
 	x.workers[i].answer, x.workers[i].after = o, x.gone
 }
 
 func (x *explorer) answered(w *exWorker) {
 	o := w.answer
 	w.answer, w.asked = nil, false
-	if o.Baton < w.baton {
+	if o.Token < w.token {
 		return
 	}
-	w.baton, w.renewed = o.Baton, true
+	w.token, w.renewed = o.Token, true
 	w.told = w.told || w.after
 	w.obey(o.Orders, x)
 }
@@ -318,15 +318,15 @@
 		t, ok := w.has[o.Task]
 		switch o.Verb {
 		case protocol.VerbStart:
-			if !ok || !t.active && t.try != o.Try {
-				w.has[o.Task] = exTask{try: o.Try, active: true}
+			if !ok || !t.active && t.attempt != o.Attempt {
+				w.has[o.Task] = exTask{attempt: o.Attempt, active: true}
 			}
 		case protocol.VerbHalt:
-			if ok && t.active && t.try == o.Try {
-				w.has[o.Task] = exTask{try: o.Try, cause: protocol.CauseHalted}
+			if ok && t.active && t.attempt == o.Attempt {
+				w.has[o.Task] = exTask{attempt: o.Attempt, cause: protocol.CauseHalted}
 			}
 		case protocol.VerbClear:
-			if ok && !t.active && t.try == o.Try {
+			if ok && !t.active && t.attempt == o.Attempt {
 				delete(w.has, o.Task)
 			}
 		}
@@ -336,9 +336,9 @@
 func (x *explorer) arrives(d *exDirect) {
 	w := x.workers[d.to]
 	a := &DirectAnswer{Outcome: Denied}
-	if d.d.Baton >= w.baton && d.d.Stint == w.stint {
+	if d.d.Token >= w.token && d.d.Session == w.session {
 		a.Outcome = Done
-		w.baton = d.d.Baton
+		w.token = d.d.Token
 		w.obey(d.d.Orders, x)
 	}
 	a.Report = x.reportOf(d.to)
@@ -353,15 +353,15 @@
 
 func (x *explorer) land(d *exDirect, a DirectAnswer) {
 	if s, m := x.machineOf(d.to); s == d.holder && m == d.f.m {
-		s.landed(&d.f, a, x.now)
+		s.finished(&d.f, a, x.now)
 	}
 }
 
 // wrong says what could break a rule in this state.
 func (x *explorer) wrong() string {
 	type at struct {
-		worker int
-		try    uint64
+		worker  int
+		attempt uint64
 	}
 	var can []at // what runs, or may yet be started by what is under way
 	active := 0
@@ -369,7 +369,7 @@
 		for _, t := range w.has {
 			if t.active {
 				active++
-				can = append(can, at{i, t.try})
+				can = append(can, at{i, t.attempt})
 			}
 		}
 	}
@@ -378,12 +378,12 @@
 	}
 	for _, d := range x.direct {
 		w := x.workers[d.to]
-		if d.reply != nil || d.d.Baton < w.baton || d.d.Stint != w.stint {
+		if d.reply != nil || d.d.Token < w.token || d.d.Session != w.session {
 			continue
 		}
 		for _, o := range d.d.Orders {
-			if t, ok := w.has[o.Task]; o.Verb == protocol.VerbStart && (!ok || !t.active && t.try != o.Try) {
-				can = append(can, at{d.to, o.Try})
+			if t, ok := w.has[o.Task]; o.Verb == protocol.VerbStart && (!ok || !t.active && t.attempt != o.Attempt) {
+				can = append(can, at{d.to, o.Attempt})
 				if x.gone && w.told {
 					return "ran_cancelled: a copy can start it, though the worker's lease was renewed since the cancellation"
 				}
@@ -393,38 +393,38 @@
 	for _, c := range can {
 		m := x.holder.machines[exName(c.worker)]
 		if m == nil {
-			return fmt.Sprintf("try %d can start on machine %s, which was handed back", c.try, exName(c.worker))
+			return fmt.Sprintf("try %d can start on machine %s, which was handed back", c.attempt, exName(c.worker))
 		}
 		if !m.settled || len(m.stray) > 0 {
 			continue // counts in full, and nothing unsure starts
 		}
-		if r := m.runs[taskKey{"wk-1", 0}]; r == nil || r.try != c.try {
-			return fmt.Sprintf("try %d is or can start on machine %s, and is not in the books", c.try, exName(c.worker))
+		if r := m.runs[taskKey{"wk-1", 0}]; r == nil || r.attempt != c.attempt {
+			return fmt.Sprintf("try %d is or can start on machine %s, and is not in the books", c.attempt, exName(c.worker))
 		}
 	}
 	return ""
 }
 
-// key tells states apart. Tallies count only by their order.
+// key tells states apart. Sequences count only by their order.
 func (x *explorer) key() string {
 	var all []uint64
 	for i, w := range x.workers {
-		all = append(all, w.tally)
+		all = append(all, w.sequence)
 		if w.report != nil {
-			all = append(all, w.report.Tally)
+			all = append(all, w.report.Sequence)
 		}
 		if _, m := x.machineOf(i); m != nil {
-			a, b := m.line.Tallies()
+			a, b := m.exchange.Sequences()
 			all = append(all, a, b)
 		}
 	}
 	for _, d := range x.direct {
 		if d.reply != nil {
-			all = append(all, d.reply.Report.Tally)
+			all = append(all, d.reply.Report.Sequence)
 		}
 	}
 	for _, r := range x.late {
-		all = append(all, r.Tally)
+		all = append(all, r.Sequence)
 	}
 	slices.Sort(all)
 	all = slices.Compact(all)
@@ -433,29 +433,29 @@
 	p := func(f string, a ...any) { fmt.Fprintf(&b, f, a...) }
 	rep := func(r *protocol.Report) {
 		if r != nil {
-			p("<%s %d %d %d %v>", r.Machine, r.Stint, rank(r.Tally), r.Baton, r.Tasks)
+			p("<%s %d %d %d %v>", r.Machine, r.Session, rank(r.Sequence), r.Token, r.Tasks)
 		}
 	}
 	p("%v%v%d%d%d%d%v|", x.gone, x.done, x.sent, x.ends, x.expires, x.terms, x.bounds)
 	for i, w := range x.workers {
-		p("%d %d %d %v%v%v%v%v", w.baton, w.stint, rank(w.tally), w.has, w.asked, w.renewed, w.told, w.after)
+		p("%d %d %d %v%v%v%v%v", w.token, w.session, rank(w.sequence), w.has, w.asked, w.renewed, w.told, w.after)
 		rep(w.report)
 		if w.answer != nil {
-			p("ans%d%s", w.answer.Baton, exOrders(w.answer.Orders))
+			p("ans%d%s", w.answer.Token, exOrders(w.answer.Orders))
 		}
 		s, m := x.machineOf(i)
 		if m == nil {
 			continue
 		}
-		r, n := m.line.Tallies()
-		p("[%d %d %d %d %v %v%v%v %v %v", s.term, m.line.Stint(), rank(r), rank(n), m.line.State(), m.settled, m.expired, m.heard(), m.cleared, m.stray)
+		r, n := m.exchange.Sequences()
+		p("[%d %d %d %d %v %v%v%v %v %v", s.term, m.exchange.Session(), rank(r), rank(n), m.exchange.State(), m.settled, m.expired, m.heard(), m.cleared, m.stray)
 		for k, r := range m.runs {
-			p("{%v %d %+v %v %v %s}", k, r.try, r.start, r.halt, r.haltOut.IsZero(), r.status)
+			p("{%v %d %+v %v %v %s}", k, r.attempt, r.start, r.halt, r.haltOut.IsZero(), r.status)
 		}
 		p("]")
 	}
 	for _, d := range x.direct {
-		p("D%d %d %d %v %v%s %v", d.to, d.d.Baton, d.d.Stint, d.gone, d.f.f, exOrders(d.d.Orders), d.holder == x.holder)
+		p("D%d %d %d %v %v%s %v", d.to, d.d.Token, d.d.Session, d.gone, d.f.message, exOrders(d.d.Orders), d.holder == x.holder)
 		if d.reply != nil {
 			p("%d", d.reply.Outcome)
 			rep(d.reply.Report)
@@ -465,14 +465,14 @@
 		rep(r)
 	}
 	j := x.job
-	p("J%v%v%d%v%d %d %v", j.unsure, j.ended, j.next, j.again, x.holder.tries, j.done.Len(), len(j.errOn))
+	p("J%v%v%d%v%d %d %v", j.unsure, j.ended, j.next, j.again, x.holder.attempts, j.done.Len(), len(j.errOn))
 	return b.String()
 }
 
 func exOrders(orders []protocol.Order) string {
 	var list []string
 	for _, o := range orders {
-		list = append(list, fmt.Sprint(o.Verb, o.Task, o.Try))
+		list = append(list, fmt.Sprint(o.Verb, o.Task, o.Attempt))
 	}
 	return strings.Join(list, ",")
 }
@@ -480,7 +480,7 @@
 // explore plays all orders of events breadth first until so many states are
 // known, or all. A state is reached by playing its events from the beginning:
 // the real code can't be copied.
-func explore(g binding.Guards, b exBounds, broken string, most int) (states int, trace []string, wrong string) {
+func explore(g dispatch.Guards, b exBounds, broken string, most int) (states int, trace []string, wrong string) {
 	seen := map[string]bool{}
 	play := func(events []string) *explorer {
 		x := newExplorer(g, b, broken)
@@ -518,17 +518,17 @@
 	fmt.Sscan(os.Getenv("REEDTRACK_EXPLORE"), &most)
 	for name, c := range map[string]struct {
 		b      exBounds
-		g      binding.Guards
+		g      dispatch.Guards
 		broken string
 	}{
-		"lost and late":  {exBounds{sent: 2, tries: 2, ends: 1, late: 1}, binding.NoLoose, ""},
-		"an answer lost": {exBounds{sent: 1, asks: 1, tries: 2}, binding.NoBehind, ""},
-		"ended early":    {exBounds{sent: 1, tries: 2, ends: 1}, binding.NoLate, ""},
-		"cancelled":      {exBounds{sent: 1, tries: 1, cancel: 1, ends: 1}, binding.NoFirst, ""},
-		"stopped":        {exBounds{sent: 2, tries: 2, stop: 1}, binding.NoLate, ""},
-		"taken over":     {exBounds{sent: 2, tries: 2, takeOver: 1, ends: 1}, 0, "trusting"},
-		"handed back":    {exBounds{sent: 1, tries: 2, handBack: 1, ends: 1}, 0, "hasty"},
-		"lease over":     {exBounds{sent: 1, tries: 2, expires: 1, ends: 1}, 0, "impatient"},
+		"lost and late":  {exBounds{sent: 2, attempts: 2, ends: 1, late: 1}, dispatch.WithoutBinding, ""},
+		"an answer lost": {exBounds{sent: 1, asks: 1, attempts: 2}, dispatch.WithoutOrder, ""},
+		"ended early":    {exBounds{sent: 1, attempts: 2, ends: 1}, dispatch.WithoutMemory, ""},
+		"cancelled":      {exBounds{sent: 1, attempts: 1, cancel: 1, ends: 1}, dispatch.WithoutStartHalt, ""},
+		"stopped":        {exBounds{sent: 2, attempts: 2, stop: 1}, dispatch.WithoutMemory, ""},
+		"taken over":     {exBounds{sent: 2, attempts: 2, takeOver: 1, ends: 1}, 0, "trusting"},
+		"handed back":    {exBounds{sent: 1, attempts: 2, handBack: 1, ends: 1}, 0, "hasty"},
+		"lease over":     {exBounds{sent: 1, attempts: 2, expires: 1, ends: 1}, 0, "impatient"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/coordination/faults_test.go
+++ b/internal/coordination/faults_test.go
@@ -150,7 +150,7 @@
 func (w *world) machinesUp(count int, zone string) []*worker {
 	var up []*worker
 	for _, id := range slices.Sorted(maps.Keys(w.workers)) {
-		if m := w.workers[id]; m.stint > 0 && !m.dead && (zone == "" || zone == m.r.Zone) {
+		if m := w.workers[id]; m.session > 0 && !m.dead && (zone == "" || zone == m.r.Zone) {
 			up = append(up, m)
 		}
 	}
@@ -422,10 +422,10 @@
 	c := *r
 	c.Tasks = slices.Clone(r.Tasks)
 	if w.takenOut.order {
-		c.Tally += 1 << 30
+		c.Sequence += 1 << 30
 	}
 	if w.takenOut.term {
-		c.Baton = 1 << 60
+		c.Token = 1 << 60
 	}
 	if w.forNext {
 		w.kept = append(w.kept, &c)
@@ -442,7 +442,7 @@
 			if after.Seconds() > w.set.Deployment.Workers.LeaseS {
 				w.noted("copy of a report, a lease later")
 			}
-			if m := w.workers[c.Machine]; m != nil && m.stint > c.Stint {
+			if m := w.workers[c.Machine]; m != nil && m.session > c.Session {
 				w.noted("copy of a report of an earlier session")
 			}
 			if status == 200 {
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -65,11 +65,11 @@
 		t.Errorf("machines not heard of count %v", u)
 	}
 	a, b := s.machines["a"], s.machines["b"]
-	s.report(a, &protocol.Report{Machine: "a", Stint: 1, Tally: 1, Baton: 3}, now)
+	s.report(a, &protocol.Report{Machine: "a", Session: 1, Sequence: 1, Token: 3}, now)
 	if a.settled || len(s.orders(a, now)) > 0 {
 		t.Error("settled by a report with the old term")
 	}
-	s.report(a, &protocol.Report{Machine: "a", Stint: 1, Tally: 2, Baton: 7, Tasks: []protocol.TaskReport{{Task: "wk-1/1", Try: 9, Status: protocol.Running}}}, now)
+	s.report(a, &protocol.Report{Machine: "a", Session: 1, Sequence: 2, Token: 7, Tasks: []protocol.TaskReport{{Task: "wk-1/1", Attempt: 9, Status: protocol.Running}}}, now)
 	if !a.settled || !j.unsure || j.runs[1] == nil {
 		t.Error("one of two machines is settled, and its task is known")
 	}
@@ -92,7 +92,7 @@
 	s.unread = map[string]bool{"wk-1": true}
 	s.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "a", Term: 2}}}, size4, now)
 	m := s.machines["a"]
-	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 1, Baton: 2, Tasks: []protocol.TaskReport{{Task: "wk-1/0", Try: 1, Status: protocol.Running}}}, now)
+	s.report(m, &protocol.Report{Machine: "a", Session: 1, Sequence: 1, Token: 2, Tasks: []protocol.TaskReport{{Task: "wk-1/0", Attempt: 1, Status: protocol.Running}}}, now)
 	if o := s.orders(m, now); len(o) != 0 || m.usable() || s.unknown().Cores != 4 {
 		t.Errorf("orders %v, usable %v, counted %v", o, m.usable(), s.unknown())
 	}
@@ -116,18 +116,18 @@
 func TestLostStart(t *testing.T) {
 	now := time.Now()
 	s, m, j := oneTask(now)
-	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 1, Baton: 2}, now)
+	s.report(m, &protocol.Report{Machine: "a", Session: 1, Sequence: 1, Token: 2}, now)
 	s.place(j, j.take(), m)
 	first := s.orders(m, now)
 	if len(first) != 1 || first[0].Verb != protocol.VerbStart || len(s.orders(m, now)) != 0 {
 		t.Fatalf("orders %v", first)
 	}
-	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 2, Baton: 2}, now)
+	s.report(m, &protocol.Report{Machine: "a", Session: 1, Sequence: 2, Token: 2}, now)
 	if len(j.runs) != 0 || s.used["red"].Cores != 0 {
 		t.Fatal("the lost start still counts")
 	}
 	s.place(j, j.take(), m)
-	if again := s.orders(m, now); len(again) != 1 || again[0].Try <= first[0].Try {
+	if again := s.orders(m, now); len(again) != 1 || again[0].Attempt <= first[0].Attempt {
 		t.Errorf("tries do not grow: %v then %v", first, again)
 	}
 }
@@ -172,7 +172,7 @@
 		ran time.Duration
 	}{{"a", 25 * time.Second}, {"a", 23 * time.Second}, {"b", 25 * time.Second}, {"b", 9 * time.Second}, {"b", 9 * time.Second}} {
 		r := s.place(j, i, s.machines[at.m])
-		r.start.Listed()
+		r.start.Reported()
 		r.status, r.began = protocol.Running, now.Add(-at.ran)
 	}
 	s.slowness(now)
@@ -182,7 +182,7 @@
 }
 
 // A machine that was silent for longer than its lease and comes back, empty
-// under its next stint, is used again; one that stays away is given back.
+// under its next session, is used again; one that stays away is given back.
 func TestSilentMachineMayComeBack(t *testing.T) {
 	now := time.Now()
 	never := func(kind) time.Duration { return time.Hour }
@@ -190,7 +190,7 @@
 	s.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "a", Term: 2}, {Machine: "b", Term: 2}}}, size4, now)
 	a, b := s.machines["a"], s.machines["b"]
 	for _, m := range []*machine{a, b} {
-		s.report(m, &protocol.Report{Machine: m.block.Machine, Stint: 1, Tally: 1, Baton: 2}, now)
+		s.report(m, &protocol.Report{Machine: m.block.Machine, Session: 1, Sequence: 1, Token: 2}, now)
 	}
 	now = now.Add(11 * time.Second)
 	s.silent(now, 10*time.Second)
@@ -198,7 +198,7 @@
 	if !a.expired || a.release || a.usable() {
 		t.Fatalf("expired %v, given back %v, usable %v", a.expired, a.release, a.usable())
 	}
-	s.report(a, &protocol.Report{Machine: "a", Stint: 2, Tally: 9, Baton: 2}, now)
+	s.report(a, &protocol.Report{Machine: "a", Session: 2, Sequence: 9, Token: 2}, now)
 	a.answered = now
 	now = now.Add(10 * time.Second)
 	s.giveBack(&planner{}, now, 10*time.Second, never)
@@ -318,41 +318,41 @@
 // A start that went straight to a worker and was not answered stays bound to it.
 // The next answer carries the same attempt again, and once it has ended the
 // worker is not told to forget it while the copy may come, nor is the task
-// started there anew; a new stint ends all that.
+// started there anew; a new session ends all that.
 func TestUnansweredDirectStart(t *testing.T) {
 	now := time.Now()
 	s, m, j := oneTask(now)
-	s.report(m, &protocol.Report{Machine: "a", Address: "a:1", Stint: 1, Tally: 1, Baton: 2}, now)
+	s.report(m, &protocol.Report{Machine: "a", Address: "a:1", Session: 1, Sequence: 1, Token: 2}, now)
 	s.orders(m, now)
 	r := s.place(j, j.take(), m)
-	e, some := m.errand(now)
-	if !some || e.Orders != 1 {
+	e, some := m.target(now)
+	if !some || e.Commands != 1 {
 		t.Fatalf("nothing to send: %+v", e)
 	}
-	f := (&Node{}).board(errand{s, m}, now)
-	if _, again := m.errand(now); again || len(f.d.Orders) != 1 {
-		t.Fatalf("sends %v and more at once", f.d.Orders)
+	f := target{s, m}.message(now)
+	if _, again := m.target(now); again || len(f.command.Orders) != 1 {
+		t.Fatalf("sends %v and more at once", f.command.Orders)
 	}
-	s.landed(&f, DirectAnswer{}, now)
-	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 2, Baton: 2}, now)
+	s.finished(&f, DirectAnswer{}, now)
+	s.report(m, &protocol.Report{Machine: "a", Session: 1, Sequence: 2, Token: 2}, now)
 	if j.runs[0] != r {
 		t.Fatal("taken for absent, though the message may still come")
 	}
-	if o := s.orders(m, now); len(o) != 1 || o[0].Try != r.try || o[0].Verb != protocol.VerbStart {
+	if o := s.orders(m, now); len(o) != 1 || o[0].Attempt != r.attempt || o[0].Verb != protocol.VerbStart {
 		t.Fatalf("orders %v", o)
 	}
-	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 3, Baton: 2}, now)
+	s.report(m, &protocol.Report{Machine: "a", Session: 1, Sequence: 3, Token: 2}, now)
 	if o := s.orders(m, now); j.runs[0] != r || len(o) != 1 {
 		t.Fatalf("the answer was lost: orders %v", o)
 	}
-	s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 4, Baton: 2, Tasks: []protocol.TaskReport{
-		{Task: "wk-1/0", Try: r.try, Status: protocol.Ended, Cause: protocol.CauseHalted}}}, now)
+	s.report(m, &protocol.Report{Machine: "a", Session: 1, Sequence: 4, Token: 2, Tasks: []protocol.TaskReport{
+		{Task: "wk-1/0", Attempt: r.attempt, Status: protocol.Ended, Cause: protocol.CauseHalted}}}, now)
 	if o := s.orders(m, now); len(o) != 0 || len(j.runs) != 0 || j.takes(m) {
 		t.Fatalf("orders %v, runs %v, takes %v", o, j.runs, j.takes(m))
 	}
-	s.report(m, &protocol.Report{Machine: "a", Stint: 2, Tally: 5, Baton: 2}, now)
+	s.report(m, &protocol.Report{Machine: "a", Session: 2, Sequence: 5, Token: 2}, now)
 	if !j.takes(m) {
-		t.Error("its new stint refuses the copy")
+		t.Error("its new session refuses the copy")
 	}
 }
 
@@ -361,18 +361,18 @@
 func TestReportBehindDirectAnswer(t *testing.T) {
 	now := time.Now()
 	s, m, j := oneTask(now)
-	s.report(m, &protocol.Report{Machine: "a", Address: "a:1", Stint: 1, Tally: 1, Baton: 2}, now)
+	s.report(m, &protocol.Report{Machine: "a", Address: "a:1", Session: 1, Sequence: 1, Token: 2}, now)
 	r := s.place(j, j.take(), m)
-	f := (&Node{}).board(errand{s, m}, now)
-	s.landed(&f, DirectAnswer{Done, &protocol.Report{Machine: "a", Stint: 1, Tally: 3, Baton: 2,
-		Tasks: []protocol.TaskReport{{Task: "wk-1/0", Try: r.try, Status: protocol.Running}}}}, now)
-	if r.status != protocol.Running || m.line.Flying() {
-		t.Fatalf("status %q, flying %v", r.status, m.line.Flying())
+	f := target{s, m}.message(now)
+	s.finished(&f, DirectAnswer{Done, &protocol.Report{Machine: "a", Session: 1, Sequence: 3, Token: 2,
+		Tasks: []protocol.TaskReport{{Task: "wk-1/0", Attempt: r.attempt, Status: protocol.Running}}}}, now)
+	if r.status != protocol.Running || m.exchange.InFlight() {
+		t.Fatalf("status %q, flying %v", r.status, m.exchange.InFlight())
 	}
-	if !s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 2, Baton: 2}, now) || j.runs[0] != r {
+	if !s.report(m, &protocol.Report{Machine: "a", Session: 1, Sequence: 2, Token: 2}, now) || j.runs[0] != r {
 		t.Error("not to be answered, or taken for absent")
 	}
-	if s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 2, Baton: 2}, now) {
+	if s.report(m, &protocol.Report{Machine: "a", Session: 1, Sequence: 2, Token: 2}, now) {
 		t.Error("answered twice")
 	}
 }
--- a/internal/coordination/hearing_test.go
+++ b/internal/coordination/hearing_test.go
@@ -125,15 +125,15 @@
 	s.setGrant(g, size4, now)
 	p = &planner{params: placement.Params{A: 2, B: 1, C: 0.2}, breeds: simBreeds, teams: map[string]team{}, most: 100,
 		refused: func(kind) bool { return false }, report: 3 * time.Second}
-	tally := uint64(0)
+	sequence := uint64(0)
 	say = func(now time.Time, which ...string) {
-		tally++
+		sequence++
 		for _, id := range which {
 			m := s.machines[id]
-			r := &protocol.Report{Machine: id, Stint: 1, Tally: tally, Baton: 2}
+			r := &protocol.Report{Machine: id, Session: 1, Sequence: sequence, Token: 2}
 			for k, x := range m.runs {
 				if x.start.Sent() {
-					r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName(k.job, k.task), Try: x.try, Status: protocol.Running})
+					r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName(k.job, k.task), Attempt: x.attempt, Status: protocol.Running})
 				}
 			}
 			s.report(m, r, now)
@@ -334,7 +334,7 @@
 		j := waitingJob(s, "wk-1"+m, 1)
 		j.spec.GuessS = 100
 		x := s.place(j, j.take(), s.machines[m])
-		x.start.Listed()
+		x.start.Reported()
 		x.status, x.began = protocol.Running, now
 	}
 	p.usage = map[string]storage.Amount{"red": {Cores: 16}}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"reedtrack/internal/config"
-	"reedtrack/internal/courier"
+	"reedtrack/internal/dispatch"
 	"reedtrack/internal/placement"
 	"reedtrack/internal/policy"
 	"reedtrack/internal/protocol"
@@ -23,18 +23,18 @@
 
 // Node is one controller.
 type Node struct {
-	set    *config.Settings
-	stages *stages.Recorder // nil: off
-	op     config.Operator
-	timing config.Timing
-	state  *storage.Client
-	cloud  Cloud
-	peers  map[string]Peer
-	direct Direct
-	desk   *courier.Desk
-	now    func() time.Time
-	cpu    func() time.Duration                // processor time used so far
-	stored func(id string) (storage.End, bool) // a job's end, if the state service is known to have it
+	set     *config.Settings
+	stages  *stages.Recorder // nil: off
+	op      config.Operator
+	timing  config.Timing
+	state   *storage.Client
+	cloud   Cloud
+	peers   map[string]Peer
+	direct  Direct
+	limiter *dispatch.Limiter
+	now     func() time.Time
+	cpu     func() time.Duration                // processor time used so far
+	stored  func(id string) (storage.End, bool) // a job's end, if the state service is known to have it
 
 	mu                                             sync.Mutex
 	own                                            *session.Session
@@ -129,7 +129,7 @@
 	n.pending = map[string]pending{}
 	n.hearing = newHearing(config.Seconds(set.Deployment.Workers.ReportS))
 	d := &set.Deployment
-	n.desk = courier.NewDesk(courier.RulesFor(config.Seconds(d.Workers.ReportS), d.Limits.CPUShare, d.Limits.MaxSockets))
+	n.limiter = dispatch.NewLimiter(dispatch.LimitsFor(config.Seconds(d.Workers.ReportS), d.Limits.CPUShare, d.Limits.MaxSockets))
 	if op.Stages > 0 {
 		n.stages = stages.New()
 	}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -30,7 +30,7 @@
 
 // takes tells whether a machine may get one more task of a job, room apart.
 func (j *job) takes(m *machine) bool {
-	return m.usable() && !m.vacate && j.suits(m) && (m.line.Doubts() == 0 || !m.lateOf(j.id))
+	return m.usable() && !m.vacate && j.suits(m) && (m.exchange.CountUnanswered() == 0 || !m.mayArrive(j.id))
 }
 
 // suits tells whether one more task of a job may run on a machine beside its
@@ -42,8 +42,8 @@
 // lateOf tells whether a copy of a start of one of a job's tasks may still come
 // to a machine. Another attempt there would take the place of the one that
 // makes the copy harmless.
-func (m *machine) lateOf(id string) bool {
-	for k := range m.line.LateKeys() {
+func (m *machine) mayArrive(id string) bool {
+	for k := range m.exchange.Unanswered() {
 		if k.job == id {
 			return true
 		}
@@ -153,7 +153,7 @@
 		if len(placed) < n {
 			s.drop(r)
 		} else {
-			r.try = placed[0].try
+			r.attempt = placed[0].attempt
 		}
 	}
 }
--- a/internal/coordination/plan_bench_test.go
+++ b/internal/coordination/plan_bench_test.go
@@ -41,7 +41,7 @@
 		return j
 	}
 	for _, m := range s.machines {
-		s.report(m, &protocol.Report{Machine: m.block.Machine, Stint: 1, Tally: 1, Baton: 2}, now)
+		s.report(m, &protocol.Report{Machine: m.block.Machine, Session: 1, Sequence: 1, Token: 2}, now)
 	}
 	for i := range machines {
 		add(i, 8, float64(1+i%2))
@@ -53,10 +53,10 @@
 }
 
 // runningReport lists all tasks of a machine as running.
-func runningReport(m *machine, tally, baton uint64) *protocol.Report {
-	r := &protocol.Report{Machine: m.block.Machine, Stint: 1, Tally: tally, Baton: baton}
+func runningReport(m *machine, sequence, token uint64) *protocol.Report {
+	r := &protocol.Report{Machine: m.block.Machine, Session: 1, Sequence: sequence, Token: token}
 	for k, x := range m.runs {
-		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName(k.job, k.task), Try: x.try, Status: protocol.Running})
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName(k.job, k.task), Attempt: x.attempt, Status: protocol.Running})
 	}
 	return r
 }
@@ -81,12 +81,12 @@
 		s, p := busyShard(n, now)
 		s.plan(p, true, now)
 		list := s.sorted()
-		tally := uint64(1)
+		sequence := uint64(1)
 		for b.Loop() {
-			tally++
-			m := list[int(tally)%len(list)]
+			sequence++
+			m := list[int(sequence)%len(list)]
 			s.orders(m, now)
-			r := runningReport(m, tally, 2)
+			r := runningReport(m, sequence, 2)
 			if len(r.Tasks) > 0 {
 				r.Tasks[0].Status, r.Tasks[0].Cause = protocol.Ended, protocol.CauseHalted
 			}
--- a/internal/coordination/served_test.go
+++ b/internal/coordination/served_test.go
@@ -85,10 +85,10 @@
 			s.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "a", Breed: "small", Zone: "a", Term: 2}}, Shares: s.shares},
 				func(string) (placement.Vector, bool) { return placement.Vector{1, 0, 16}, true }, now)
 			m := s.machines["a"]
-			s.report(m, &protocol.Report{Machine: "a", Stint: 1, Tally: 1, Baton: 2}, now)
+			s.report(m, &protocol.Report{Machine: "a", Session: 1, Sequence: 1, Token: 2}, now)
 			add("wk-1", "slow", time.Second)
 			low := s.jobs["wk-1"]
-			s.place(low, low.take(), m).start.Listed()
+			s.place(low, low.take(), m).start.Reported()
 			low.stops = map[int]int{0: c.stops}
 			for i := range c.late {
 				add(fmt.Sprintf("wk-9%d", i), "slow", 150*time.Second)
--- a/internal/coordination/service_test.go
+++ b/internal/coordination/service_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"reedtrack/internal/binding"
+	"reedtrack/internal/dispatch"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
 )
@@ -103,11 +103,11 @@
 	sh := newShard(0, storage.Shard{Term: 3}, 1, now)
 	sh.setGrant(storage.Grant{Blocks: []storage.Block{{Machine: "m", Breed: "small", Zone: "a", Term: 4}}}, n.size, now)
 	m := sh.machines["m"]
-	sh.report(m, &protocol.Report{Machine: "m", Stint: 2, Tally: 9}, now)
-	if sh.report(m, &protocol.Report{Machine: "m", Stint: 2, Tally: 8, Tasks: []protocol.TaskReport{{Task: "wk-1/0", Try: 1, Status: protocol.Running}}}, now) {
+	sh.report(m, &protocol.Report{Machine: "m", Session: 2, Sequence: 9}, now)
+	if sh.report(m, &protocol.Report{Machine: "m", Session: 2, Sequence: 8, Tasks: []protocol.TaskReport{{Task: "wk-1/0", Attempt: 1, Status: protocol.Running}}}, now) {
 		t.Error("an old report was taken in")
 	}
-	if o, _ := m.line.Report(2, 9); len(m.stray) != 0 || o != binding.Old {
+	if o, _ := m.exchange.Report(2, 9); len(m.stray) != 0 || o != dispatch.Old {
 		t.Error("an old report changed something")
 	}
 }
--- a/internal/coordination/session_test.go
+++ b/internal/coordination/session_test.go
@@ -168,7 +168,7 @@
 			w.mu.Lock()
 			up := map[string]bool{}
 			for id, m := range w.workers {
-				if m.stint > 0 && !m.dead {
+				if m.session > 0 && !m.dead {
 					up[id] = true
 				}
 			}
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -4,7 +4,7 @@
 	"log/slog"
 	"time"
 
-	"reedtrack/internal/binding"
+	"reedtrack/internal/dispatch"
 	"reedtrack/internal/outage"
 	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
@@ -30,9 +30,9 @@
 	key     taskKey
 	job     *job
 	m       *machine
-	try     uint64
+	attempt uint64
 	status  string
-	start   binding.Start
+	start   dispatch.Start
 	began   time.Time // first seen running
 	adopted bool      // began before this controller looked on
 	halt    bool      // wanted gone
@@ -122,15 +122,15 @@
 
 // machine is a block leased to a shard.
 type machine struct {
-	block   storage.Block
-	size    placement.Vector
-	used    placement.Vector
-	address string
-	line    binding.Line[taskKey]
-	runs    map[taskKey]*run
-	cleared map[taskKey]uint64 // ended tasks to be forgotten by the worker
-	stray   map[taskKey]uint64 // tasks that have no business here, to be halted
-	// settled: the worker has reported with this holder's baton, or has been
+	block    storage.Block
+	size     placement.Vector
+	used     placement.Vector
+	address  string
+	exchange dispatch.Exchange[taskKey]
+	runs     map[taskKey]*run
+	cleared  map[taskKey]uint64 // ended tasks to be forgotten by the worker
+	stray    map[taskKey]uint64 // tasks that have no business here, to be halted
+	// settled: the worker has reported with this holder's token, or has been
 	// silent for so long that its tasks are gone. Only then is a task that it
 	// does not list absent.
 	settled  bool
@@ -154,7 +154,7 @@
 }
 
 // heard tells whether the machine has reported to this holder.
-func (m *machine) heard() bool { return m.line.Heard() }
+func (m *machine) heard() bool { return m.exchange.Heard() }
 
 func (m *machine) free() placement.Vector { return m.size.Sub(m.used) }
 
@@ -179,7 +179,7 @@
 	used     map[string]storage.Amount
 	caps     map[string]storage.Amount // fair parts of the shares that others are short of
 	settled  bool
-	tries    uint64
+	attempts uint64
 	// what the leader last said
 	coming    []rentWant
 	comingVer uint64
@@ -197,7 +197,7 @@
 	// unread jobs have a record that can't be read: they are left alone.
 	unread map[string]bool
 	stages *stages.Recorder
-	guards binding.Guards // left out by a test
+	guards dispatch.Guards // left out by a test
 }
 
 // kind is a type of machine, in a zone, spot or ordinary.
@@ -218,9 +218,9 @@
 		shares: map[string]storage.Amount{}, used: map[string]storage.Amount{}, caps: map[string]storage.Amount{}, wanted: map[string]storage.Amount{}, boots: map[kind][]boot{}}
 }
 
-// baton is what workers of this machine are given: the term of the shard's
+// token is what workers of this machine are given: the term of the shard's
 // lease or of the block's own, whichever is newer.
-func (s *shard) baton(m *machine) uint64 { return max(s.term, m.block.Term) }
+func (s *shard) token(m *machine) uint64 { return max(s.term, m.block.Term) }
 
 // setGrant takes over a changed grant record.
 func (s *shard) setGrant(g storage.Grant, size func(string) (placement.Vector, bool), now time.Time) {
@@ -308,8 +308,8 @@
 
 // place puts a task on a machine; the start goes out with its next answer.
 func (s *shard) place(j *job, task int, m *machine) *run {
-	s.tries++
-	r := &run{key: taskKey{j.id, task}, job: j, m: m, try: s.term<<20 + s.tries}
+	s.attempts++
+	r := &run{key: taskKey{j.id, task}, job: j, m: m, attempt: s.term<<20 + s.attempts}
 	s.notePlaced(r)
 	s.attach(r)
 	return r
@@ -424,7 +424,7 @@
 // lost accounts for a machine that has certainly dropped all its tasks.
 func (s *shard) lost(m *machine) {
 	m.expired, m.settled = true, true
-	m.line.Void()
+	m.exchange.Reset()
 	clear(m.stray)
 	clear(m.cleared)
 	for _, r := range m.runs {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -337,34 +337,34 @@
 // Workers.
 
 type worker struct {
-	w            *world
-	id           string
-	r            protocol.Rental
-	breed        protocol.Breed
-	born, boots  time.Time
-	dead         bool
-	stint, tally uint64
-	baton        uint64
-	warn         *float64
-	sent         time.Time // when the last answered report was sent
-	tasks        map[string]*wtask
-	sick         bool
-	deaf         bool // answers and direct commands to it are lost
-	mute         bool // it reaches no controller
-	hung         time.Time
-	changed      bool
-	node         int
-	epoch        uint64 // changes with the session: late answers are dropped
+	w                 *world
+	id                string
+	r                 protocol.Rental
+	breed             protocol.Breed
+	born, boots       time.Time
+	dead              bool
+	session, sequence uint64
+	token             uint64
+	warn              *float64
+	sent              time.Time // when the last answered report was sent
+	tasks             map[string]*wtask
+	sick              bool
+	deaf              bool // answers and direct commands to it are lost
+	mute              bool // it reaches no controller
+	hung              time.Time
+	changed           bool
+	node              int
+	epoch             uint64 // changes with the session: late answers are dropped
 }
 
 type wtask struct {
-	name   string
-	job    *protocol.Job
-	try    uint64
-	status string
-	cause  string
-	until  time.Time
-	active bool // counts as on the machine
+	name    string
+	job     *protocol.Job
+	attempt uint64
+	status  string
+	cause   string
+	until   time.Time
+	active  bool // counts as on the machine
 }
 
 // die ends a worker; the world's lock is held.
@@ -447,7 +447,7 @@
 	time.Sleep(boot)
 	w := m.w
 	w.mu.Lock()
-	m.stint, m.sent, m.node = 1, time.Now(), w.rnd.IntN(len(w.nodes))
+	m.session, m.sent, m.node = 1, time.Now(), w.rnd.IntN(len(w.nodes))
 	w.mu.Unlock()
 	next := time.Now()
 	busy := false
@@ -494,7 +494,7 @@
 			m.off(t)
 		}
 		m.tasks = map[string]*wtask{}
-		m.stint++
+		m.session++
 		m.epoch++
 		m.sent, m.changed = now, true
 	}
@@ -545,11 +545,11 @@
 }
 
 func (m *worker) report() *protocol.Report {
-	m.tally++
+	m.sequence++
 	r := &protocol.Report{Machine: m.id, Address: m.id, Breed: m.r.Breed, Zone: m.r.Zone, Spot: m.r.Spot,
-		Stint: m.stint, Tally: m.tally, Baton: m.baton, WarningS: m.warn}
+		Session: m.session, Sequence: m.sequence, Token: m.token, WarningS: m.warn}
 	for _, t := range m.tasks {
-		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: t.name, Try: t.try, Status: t.status, Cause: t.cause})
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: t.name, Attempt: t.attempt, Status: t.status, Cause: t.cause})
 	}
 	return r
 }
@@ -604,11 +604,11 @@
 	}
 	switch {
 	case status == 200:
-		if m.epoch != epoch || orders.Baton < m.baton {
+		if m.epoch != epoch || orders.Token < m.token {
 			return
 		}
-		if orders.Baton > m.baton {
-			m.baton, m.changed = orders.Baton, true
+		if orders.Token > m.token {
+			m.token, m.changed = orders.Token, true
 		}
 		m.sent = sent
 		m.obey(orders.Orders)
@@ -633,7 +633,7 @@
 		case protocol.VerbStart:
 			m.start(o, t)
 		case protocol.VerbHalt:
-			if t == nil || t.try != o.Try || t.status == protocol.Ended {
+			if t == nil || t.attempt != o.Attempt || t.status == protocol.Ended {
 				continue
 			}
 			m.changed = true
@@ -648,7 +648,7 @@
 				t.status, t.cause = protocol.Ended, protocol.CauseHalted
 			}
 		case protocol.VerbClear:
-			if t != nil && t.try == o.Try && t.status == protocol.Ended {
+			if t != nil && t.attempt == o.Attempt && t.status == protocol.Ended {
 				delete(m.tasks, o.Task)
 			}
 		}
@@ -657,7 +657,7 @@
 
 func (m *worker) start(o protocol.Order, t *wtask) {
 	m.changed = true
-	if t != nil && t.try == o.Try {
+	if t != nil && t.attempt == o.Attempt {
 		return
 	}
 	id, _, _ := protocol.SplitTask(o.Task)
@@ -677,7 +677,7 @@
 	case free < j.Cores-1e-9:
 		cause = "full"
 	}
-	n := &wtask{name: o.Task, job: j, try: o.Try, status: protocol.Fetching, until: time.Now().Add(config.Seconds(j.ImageGB))}
+	n := &wtask{name: o.Task, job: j, attempt: o.Attempt, status: protocol.Fetching, until: time.Now().Add(config.Seconds(j.ImageGB))}
 	if cause != "" {
 		n.status, n.cause = protocol.Ended, cause
 	}
@@ -718,14 +718,14 @@
 				w.mu.Lock()
 			}
 			defer w.mu.Unlock()
-			if m == nil || m.dead || m.stint == 0 || m.deaf || w.ctx.Err() != nil {
+			if m == nil || m.dead || m.session == 0 || m.deaf || w.ctx.Err() != nil {
 				return
 			}
 			m.lease(time.Now())
 			a := DirectAnswer{Outcome: Denied}
-			if d.Baton >= m.baton && d.Stint == m.stint {
+			if d.Token >= m.token && d.Session == m.session {
 				a.Outcome = Done
-				m.baton = d.Baton
+				m.token = d.Token
 				w.directs++
 				if m.mute {
 					w.noted("direct command to a mute machine")
--- a/internal/courier/courier_test.go
+++ b/internal/dispatch/limiter_test.go
@@ -1,4 +1,4 @@
-package courier
+package dispatch
 
 import (
 	"math/rand/v2"
@@ -7,31 +7,31 @@
 	"time"
 )
 
-var rules = Rules{Report: 5 * time.Second, Rate: 20, Most: 10}
+var limits = Limits{Report: 5 * time.Second, Rate: 20, MaxInFlight: 10}
 
-// Among random errands those that go out are the ones that a plain look at all
+// Among random targets those that go out are the ones that a plain look at all
 // of them would choose, within the budget, and what is under way is bounded.
 func TestPick(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(1, 1))
 	for range 300 {
-		d := NewDesk(rules)
+		d := NewLimiter(limits)
 		now := time.Unix(1e9, 0)
 		sent, under := 0, 0
 		for range 40 {
-			var list []Errand
+			var list []Target
 			for i := range rnd.IntN(40) {
-				list = append(list, Errand{Worker: i, Rank: rnd.IntN(4), Orders: 1 + rnd.IntN(9), Since: time.Duration(rnd.IntN(7000)) * time.Millisecond, Halts: rnd.IntN(4) == 0})
+				list = append(list, Target{Worker: i, Rank: rnd.IntN(4), Commands: 1 + rnd.IntN(9), Since: time.Duration(rnd.IntN(7000)) * time.Millisecond, Halts: rnd.IntN(4) == 0})
 			}
 			load := rnd.Float64()
 			picked := d.Pick(slices.Clone(list), load, now)
 			under += len(picked)
 			sent += len(picked)
-			if under > rules.Most || d.Flying() != under {
-				t.Fatalf("%d under way, the desk says %d", under, d.Flying())
+			if under > limits.MaxInFlight || d.InFlight() != under {
+				t.Fatalf("%d under way, the limiter says %d", under, d.InFlight())
 			}
 			least := 9
 			for _, e := range list {
-				if rules.Wait(e.Since) < worth || load > busy && e.Rank > 0 || load > full {
+				if limits.Wait(e.Since) < minGain || load > busyLoad && e.Rank > 0 || load > fullLoad {
 					if slices.Contains(picked, e) {
 						t.Fatalf("%+v goes out at load %g", e, load)
 					}
@@ -45,11 +45,11 @@
 				}
 			}
 			for ; under > 0 && rnd.IntN(3) > 0; under-- {
-				d.Done(true)
+				d.Finished(true)
 			}
 			now = now.Add(100 * time.Millisecond)
 		}
-		if most := int(rules.Rate * (4 + 2)); sent > most {
+		if most := int(limits.Rate * (4 + 2)); sent > most {
 			t.Fatalf("%d messages, at most %d", sent, most)
 		}
 	}
@@ -57,36 +57,36 @@
 
 // When answers stay away messages are all but given up, until one is answered.
 func TestSilence(t *testing.T) {
-	d := NewDesk(rules)
+	d := NewLimiter(limits)
 	now := time.Unix(1e9, 0)
-	list := func() []Errand {
-		var l []Errand
+	list := func() []Target {
+		var l []Target
 		for i := range 10 {
-			l = append(l, Errand{Worker: i, Orders: 1})
+			l = append(l, Target{Worker: i, Commands: 1})
 		}
 		return l
 	}
 	for range d.Pick(list(), 0, now) {
-		d.Done(false)
+		d.Finished(false)
 	}
-	tries := 0
+	attempts := 0
 	for range 100 { // ten seconds
 		now = now.Add(100 * time.Millisecond)
 		for range d.Pick(list(), 0, now) {
-			tries++
-			d.Done(false)
+			attempts++
+			d.Finished(false)
 		}
 	}
-	if tries < 8 || tries > 10 {
-		t.Errorf("%d tries in ten seconds of silence", tries)
+	if attempts < 8 || attempts > 10 {
+		t.Errorf("%d attempts in ten seconds of silence", attempts)
 	}
 	now = now.Add(time.Second)
 	d.Pick(list(), 0, now)
-	d.Done(true)
+	d.Finished(true)
 	if got := len(d.Pick(list(), 0, now)); got != 10 {
 		t.Errorf("%d go out after an answer", got)
 	}
-	if a, b := rules.Hold(1, 0), rules.Hold(4, 1); a != 10*time.Second || b <= 4*a {
+	if a, b := limits.Backoff(1, 0), limits.Backoff(4, 1); a != 10*time.Second || b <= 4*a {
 		t.Errorf("held for %v and %v", a, b)
 	}
 }
--- a/internal/protocol/machines.go
+++ b/internal/protocol/machines.go
@@ -23,11 +23,11 @@
 
 // TaskReport is one task in a worker's report.
 type TaskReport struct {
-	Task   string `json:"part"`
-	Try    uint64 `json:"try"`
-	Status string `json:"status"`
-	Cause  string `json:"cause,omitempty"`
-	Kept   bool   `json:"kept,omitempty"`
+	Task    string `json:"part"`
+	Attempt uint64 `json:"try"`
+	Status  string `json:"status"`
+	Cause   string `json:"cause,omitempty"`
+	Kept    bool   `json:"kept,omitempty"`
 }
 
 // Report is what a worker says of itself.
@@ -37,9 +37,9 @@
 	Breed    string       `json:"breed"`
 	Zone     string       `json:"yard"`
 	Spot     bool         `json:"loaners"`
-	Stint    uint64       `json:"stint"`
-	Tally    uint64       `json:"tally"`
-	Baton    uint64       `json:"baton"`
+	Session  uint64       `json:"stint"`
+	Sequence uint64       `json:"tally"`
+	Token    uint64       `json:"baton"`
 	WarningS *float64     `json:"warning_s"`
 	Tasks    []TaskReport `json:"parts"`
 }
@@ -59,7 +59,7 @@
 	if r.Zone == "" {
 		return nil, &BadField{"yard", "missing"}
 	}
-	if r.Stint == 0 {
+	if r.Session == 0 {
 		return nil, &BadField{"stint", "must be at least 1"}
 	}
 	for i := range r.Tasks {
@@ -77,23 +77,23 @@
 
 // Order is a command to a worker.
 type Order struct {
-	Verb   string   `json:"verb"`
-	Task   string   `json:"part"`
-	Try    uint64   `json:"try"`
-	MercyS *float64 `json:"mercy_s,omitempty"`
+	Verb    string   `json:"verb"`
+	Task    string   `json:"part"`
+	Attempt uint64   `json:"try"`
+	MercyS  *float64 `json:"mercy_s,omitempty"`
 }
 
 // Orders answers a report.
 type Orders struct {
-	Baton  uint64  `json:"baton"`
+	Token  uint64  `json:"baton"`
 	Orders []Order `json:"orders"`
 }
 
 // Direct is the body of a command sent straight to a worker.
 type Direct struct {
-	Baton  uint64  `json:"baton"`
-	Stint  uint64  `json:"stint"`
-	Orders []Order `json:"orders"`
+	Token   uint64  `json:"baton"`
+	Session uint64  `json:"stint"`
+	Orders  []Order `json:"orders"`
 }
 
 // Redirect tells a worker where to report.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -87,7 +87,7 @@
 	ok := `{"reed":"host-000231","address":"10.1.0.232:9000","breed":"g8","yard":"a","loaners":true,"stint":1,"tally":88,
 	"baton":41,"warning_s":null,"parts":[{"part":"wk-000412/3","try":2,"status":"running"}]}`
 	r, err := ParseReport([]byte(ok))
-	if err != nil || r.Tasks[0].Try != 2 || r.WarningS != nil {
+	if err != nil || r.Tasks[0].Attempt != 2 || r.WarningS != nil {
 		t.Fatal(r, err)
 	}
 	for _, c := range [][2]string{{`"stint":1`, `"stint":0`}, {`"tally":88`, `"tally":-1`}, {"wk-000412/3", "wk-000412"},
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -38,17 +38,17 @@
 }
 
 type machine struct {
-	f            *Fleet
-	kind         protocol.Rental
-	id           string
-	born         time.Time
-	up, gone     bool
-	stint, tally uint64
-	baton        uint64
-	sent         time.Time
-	tasks        map[string]*task
-	changed      chan struct{}
-	address      string // where orders come straight to it
+	f                 *Fleet
+	kind              protocol.Rental
+	id                string
+	born              time.Time
+	up, gone          bool
+	session, sequence uint64
+	token             uint64
+	sent              time.Time
+	tasks             map[string]*task
+	changed           chan struct{}
+	address           string // where orders come straight to it
 }
 
 type task struct {
@@ -137,7 +137,7 @@
 		}
 		for range min(q.HowMany, f.Most-len(f.machines)) {
 			f.next++
-			m := &machine{f: f, kind: q, id: fmt.Sprintf("host-%06d", f.next), born: time.Now(), stint: 1,
+			m := &machine{f: f, kind: q, id: fmt.Sprintf("host-%06d", f.next), born: time.Now(), session: 1,
 				tasks: map[string]*task{}, changed: make(chan struct{}, 1)}
 			f.machines[m.id] = m
 			names = append(names, m.id)
@@ -170,8 +170,8 @@
 
 // report is the worker's report; the fleet's lock is held.
 func (m *machine) report() protocol.Report {
-	m.tally++
-	r := protocol.Report{Machine: m.id, Address: m.address, Breed: m.kind.Breed, Zone: m.kind.Zone, Spot: m.kind.Spot, Stint: m.stint, Tally: m.tally, Baton: m.baton}
+	m.sequence++
+	r := protocol.Report{Machine: m.id, Address: m.address, Breed: m.kind.Breed, Zone: m.kind.Zone, Spot: m.kind.Spot, Session: m.session, Sequence: m.sequence, Token: m.token}
 	for _, t := range m.tasks {
 		r.Tasks = append(r.Tasks, t.TaskReport)
 	}
@@ -201,15 +201,15 @@
 		return
 	}
 	var d protocol.Direct
-	if json.Unmarshal(body, &d) != nil || d.Baton == 0 || d.Stint == 0 {
+	if json.Unmarshal(body, &d) != nil || d.Token == 0 || d.Session == 0 {
 		answerJSON(w, 400, protocol.Failure{Error: "baton or stint is missing"})
 		return
 	}
-	if d.Baton < m.baton || d.Stint != m.stint {
+	if d.Token < m.token || d.Session != m.session {
 		answerJSON(w, 409, m.report())
 		return
 	}
-	m.baton = d.Baton
+	m.token = d.Token
 	for _, o := range d.Orders {
 		m.obey(o)
 	}
@@ -238,7 +238,7 @@
 		}
 		if time.Since(m.sent).Seconds() > m.f.LeaseS {
 			m.clear()
-			m.stint++
+			m.session++
 			m.sent = time.Now()
 		}
 		rep := m.report()
@@ -247,8 +247,8 @@
 		status, orders, to := m.f.checkin(m.f.Nodes[at], rep)
 		m.f.mu.Lock()
 		switch {
-		case status == http.StatusOK && orders.Baton >= m.baton:
-			m.baton, m.sent = orders.Baton, sent
+		case status == http.StatusOK && orders.Token >= m.token:
+			m.token, m.sent = orders.Token, sent
 			for _, o := range orders.Orders {
 				m.obey(o)
 			}
@@ -324,7 +324,7 @@
 			return
 		}
 		id, n, _ := protocol.SplitTask(o.Task)
-		t = &task{TaskReport: protocol.TaskReport{Task: o.Task, Try: o.Try, Status: protocol.Running}, stop: func() {}}
+		t = &task{TaskReport: protocol.TaskReport{Task: o.Task, Attempt: o.Attempt, Status: protocol.Running}, stop: func() {}}
 		m.tasks[o.Task] = t
 		m.f.starts[o.Task]++
 		j := m.f.jobs[id]
@@ -342,7 +342,7 @@
 			}
 		}
 		if c := m.f.commands[id]; m.f.Runner != nil && len(c.Command) > 0 {
-			t.stop = m.f.Runner.start(Run{Job: j, Task: n, Try: o.Try, Machine: m.id, Stint: m.stint, Command: c}, ended)
+			t.stop = m.f.Runner.start(Run{Job: j, Task: n, Attempt: o.Attempt, Machine: m.id, Session: m.session, Command: c}, ended)
 			return
 		}
 		length := time.Duration(j.GuessS * float64(time.Second))
@@ -352,13 +352,13 @@
 		timer := time.AfterFunc(length, func() { ended(protocol.CauseDone) })
 		t.stop = func() { timer.Stop() }
 	case protocol.VerbHalt:
-		if t != nil && t.Try == o.Try && t.Status == protocol.Running {
+		if t != nil && t.Attempt == o.Attempt && t.Status == protocol.Running {
 			t.stop()
 			t.Status, t.Cause = protocol.Ended, protocol.CauseHalted
 			m.poke()
 		}
 	case protocol.VerbClear:
-		if t != nil && t.Try == o.Try && t.Status == protocol.Ended {
+		if t != nil && t.Attempt == o.Attempt && t.Status == protocol.Ended {
 			delete(m.tasks, o.Task)
 		}
 	}
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -33,22 +33,22 @@
 type Run struct {
 	Job     *protocol.Job
 	Task    int
-	Try     uint64
+	Attempt uint64
 	Machine string
-	Stint   uint64
+	Session uint64
 	Command Command
 }
 
 // start runs an attempt and returns what ends it at once. ended is told its cause.
 func (r *Runner) start(a Run, ended func(cause string)) (stop func()) {
-	dir := filepath.Join(r.Dir, a.Machine, fmt.Sprintf("%s.%d.%d", a.Job.ID, a.Task, a.Try))
-	args := []string{"--job", a.Job.ID, "--task", fmt.Sprint(a.Task), "--try", fmt.Sprint(a.Try), "--team", a.Job.Team, "--class", a.Job.Class,
-		"--machine", a.Machine, "--stint", fmt.Sprint(a.Stint), "--dir", dir, "--spool", filepath.Join(r.Dir, a.Machine, "spool"), "--to", strings.Join(r.Stores, ",")}
+	dir := filepath.Join(r.Dir, a.Machine, fmt.Sprintf("%s.%d.%d", a.Job.ID, a.Task, a.Attempt))
+	args := []string{"--job", a.Job.ID, "--task", fmt.Sprint(a.Task), "--try", fmt.Sprint(a.Attempt), "--team", a.Job.Team, "--class", a.Job.Class,
+		"--machine", a.Machine, "--stint", fmt.Sprint(a.Session), "--dir", dir, "--spool", filepath.Join(r.Dir, a.Machine, "spool"), "--to", strings.Join(r.Stores, ",")}
 	for _, k := range a.Command.Keep {
 		args = append(args, "--keep", k)
 	}
 	cmd := exec.Command(r.Capture, append(append(append(args, r.Args...), "--"), a.Command.Command...)...)
-	cmd.Env = append(os.Environ(), "REEDTRACK_JOB="+a.Job.ID, fmt.Sprintf("REEDTRACK_TASK=%d", a.Task), fmt.Sprintf("REEDTRACK_TRY=%d", a.Try))
+	cmd.Env = append(os.Environ(), "REEDTRACK_JOB="+a.Job.ID, fmt.Sprintf("REEDTRACK_TASK=%d", a.Task), fmt.Sprintf("REEDTRACK_TRY=%d", a.Attempt))
 	cmd.Stderr = os.Stderr
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan struct{})
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -35,7 +35,7 @@
 func (s *service) Poll(context.Context, string) (int, any)     { return s.status, nil }
 func (s *service) Waits(context.Context, string) (int, any)    { return 404, nil }
 func (s *service) Withdraw(context.Context, string) (int, any) { return s.status, nil }
-func (s *service) Checkin([]byte) (int, any)                   { return 200, protocol.Orders{Baton: 7} }
+func (s *service) Checkin([]byte) (int, any)                   { return 200, protocol.Orders{Token: 7} }
 func (s *service) Up() bool                                    { return s.up }
 
 func ask(h http.Handler, method, path, body string) *httptest.ResponseRecorder {
@@ -184,7 +184,7 @@
 			w.Write([]byte(body))
 		default:
 			var d protocol.Direct
-			if err := json.Unmarshal(raw, &d); r.URL.Path == "/do" && (err != nil || d.Baton != 4 || len(d.Orders) != 1) {
+			if err := json.Unmarshal(raw, &d); r.URL.Path == "/do" && (err != nil || d.Token != 4 || len(d.Orders) != 1) {
 				t.Errorf("%s: %v", raw, err)
 			}
 			w.Write([]byte(body))
@@ -194,7 +194,7 @@
 	w := NewWorkers()
 	w.Answer = 300 * time.Millisecond
 	addr := srv.Listener.Addr().String()
-	d := protocol.Direct{Baton: 4, Stint: 1, Orders: []protocol.Order{{Verb: protocol.VerbStart, Task: "wk-1/0", Try: 3}}}
+	d := protocol.Direct{Token: 4, Session: 1, Orders: []protocol.Order{{Verb: protocol.VerbStart, Task: "wk-1/0", Attempt: 3}}}
 	for _, c := range []struct {
 		mode   string
 		status int
@@ -206,7 +206,7 @@
 		}
 	}
 	mode.Store("")
-	if got := w.Inspect(t.Context(), addr); got.Status != 200 || got.Report.Tally != 7 || len(got.Report.Tasks) != 1 {
+	if got := w.Inspect(t.Context(), addr); got.Status != 200 || got.Report.Sequence != 7 || len(got.Report.Tasks) != 1 {
 		t.Errorf("%+v", got)
 	}
 	ln, _ := net.Listen("tcp", "127.0.0.1:0")
