Limits are divided in whole tasks; late commands and late cloud calls in the simulated world

And a shard kept what it did not use, up to a sixteenth of its part, though another lacked just that. The checker now counts jobs that wait 90 s beside room, starts ordered after a lease since a confirmed cancellation, tokens used by two processes, and clears that go straight to workers. Faults: direct commands held up by share, controller, verb and time, cloud calls carried out late.

--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -185,6 +185,7 @@
 		return
 	}
 	s := newShard(i, rec.v, rec.stamp, n.now())
+	s.guards = n.guards
 	s.unread, s.stages = n.unread, n.stages
 	s.setGrant(g.v, n.size, n.now())
 	for _, jr := range n.jobs {
--- a/internal/coordination/giveback.go
+++ b/internal/coordination/giveback.go
@@ -68,7 +68,7 @@
 		next := storage.Grant{Of: g.v.Of}
 		var out []string
 		next.Blocks, out = s.keptBlocks(g.v.Blocks)
-		shares, lowered := n.lowerShares(s, g.v.Shares)
+		shares, lowered := n.lowerShares(s, g.v.Shares, now)
 		next.Shares = shares
 		if g.v.Of == 0 && len(out) > 0 || lowered {
 			txn.When = append(txn.When, protocol.Cond{Path: storage.GrantKey(i), Stamp: g.stamp})
@@ -78,6 +78,7 @@
 			// it: the earlier one may still be applied, and the room be granted
 			// to another. Only a newer record does.
 			s.shares = next.Shares
+			s.loweredAt = now
 		}
 		if g.v.Of != 0 {
 			out = nil
@@ -151,105 +152,3 @@
 	slices.SortFunc(list, func(a, b lightened) int { return cmp.Or(len(b.out)-len(a.out), a.k-b.k) })
 	return list
 }
-
-// lowerShares are a shard's shares without what it gives back, and whether that
-// is worth a write.
-func (n *Node) lowerShares(s *shard, shares map[string]storage.Amount) (next map[string]storage.Amount, lowered bool) {
-	short, unknown := n.shortTeams(s.index), s.unknown()
-	next = map[string]storage.Amount{}
-	for t, share := range shares {
-		if short[t] {
-			keep := n.keepShare(s, t, share, unknown)
-			// Little by little is not worth a write each.
-			step := n.teams[t].limit.Cores / float64(16*n.op.Shards)
-			if share.Cores-keep.Cores > step || share.Cards > keep.Cards || keep.Cores == 0 && share.Cores > 0 {
-				lowered = true
-				share = keep
-			}
-		}
-		next[t] = least(share, s.shares[t])
-	}
-	return next, lowered
-}
-
-func least(a, b storage.Amount) storage.Amount {
-	return storage.Amount{Cores: min(a.Cores, b.Cores), Cards: min(a.Cards, b.Cards)}
-}
-
-// keepShare is what a shard keeps of a team's limit while another shard is
-// short: what it uses, or its fair part.
-func (n *Node) keepShare(s *shard, team string, share, unknown storage.Amount) storage.Amount {
-	used, fair := s.used[team], n.fairShare(team, s)
-	return storage.Amount{Cores: min(share.Cores, max(used.Cores+unknown.Cores, fair.Cores)),
-		Cards: min(share.Cards, max(used.Cards+unknown.Cards, fair.Cards))}
-}
-
-// fairShare is a shard's part of a team's limit by what the shards want of it.
-func (n *Node) fairShare(team string, s *shard) storage.Amount {
-	want := s.wanted[team]
-	all := want
-	add := func(i int, w storage.Amount) {
-		if i != s.index {
-			all.Cores += w.Cores
-			all.Cards += w.Cards
-		}
-	}
-	for i, o := range n.shards {
-		add(i, o.wanted[team])
-	}
-	for _, o := range n.others {
-		for _, ss := range o.Shards {
-			add(ss.Index, ss.Wanted[team])
-		}
-	}
-	return fairPart(want, all, n.teams[team].limit)
-}
-
-// fairPart divides a limit among those who want more than it, each by what he
-// wants.
-func fairPart(want, all, limit storage.Amount) storage.Amount {
-	part := func(want, all, limit float64) float64 {
-		if all <= limit || all <= 0 {
-			return want
-		}
-		return limit * want / all
-	}
-	return storage.Amount{Cores: part(want.Cores, all.Cores, limit.Cores), Cards: part(want.Cards, all.Cards, limit.Cards)}
-}
-
-// capShares bounds what a shard starts for teams of which another shard is
-// short: room that comes free beyond the fair part is left to be given back.
-// Without that a shard that is always full would keep its share for ever.
-func (n *Node) capShares(s *shard) {
-	clear(s.caps)
-	for team := range n.shortTeams(s.index) {
-		s.caps[team] = n.fairShare(team, s)
-	}
-}
-
-// shortTeams lists the teams of which some shard other than one wants more
-// than its share. A shard that counted itself would give room back only to be
-// granted it anew, over and over.
-func (n *Node) shortTeams(but int) map[string]bool {
-	short := map[string]bool{}
-	look := func(i int, wanted map[string]storage.Amount) {
-		if i == but {
-			return
-		}
-		for t, w := range wanted {
-			lim, share := n.teams[t].limit, n.grantRecs[i].v.Shares[t]
-			if lim.Cores > 0 && w.Cores > share.Cores+1e-9 || lim.Cards > 0 && w.Cards > share.Cards+1e-9 {
-				short[t] = true
-			}
-		}
-	}
-	for i, s := range n.shards {
-		look(i, s.wanted)
-	}
-	for _, o := range n.others {
-		for _, s := range o.Shards {
-			look(s.Index, s.Wanted)
-		}
-	}
-	return short
-}
--- a/internal/coordination/gossip.go
+++ b/internal/coordination/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"time"
 
 	"reedtrack/internal/storage"
@@ -30,6 +31,7 @@
 	Fits    []kind
 	Used    map[string]storage.Amount
 	Wanted  map[string]storage.Amount
+	Units   map[string]storage.Amount // the least that a waiting task takes, by team; none from older versions
 	Running map[string]int
 }
 
@@ -92,6 +94,7 @@
 		for t, w := range s.wanted {
 			ss.Wanted[t] = w
 		}
+		ss.Units = maps.Clone(s.units)
 		for id, j := range s.jobs {
 			if k := len(j.runs); k > 0 {
 				ss.Running[id] = k
--- a/internal/coordination/grants.go
+++ b/internal/coordination/grants.go
@@ -192,13 +192,14 @@
 				all.Cards += st.Wanted[name].Cards
 			}
 		}
+		parts := n.divideLimit(name)
 		for i, st := range stats {
 			if st == nil {
 				continue
 			}
-			have, fair := n.grantRecs[i].v.Shares[name], fairPart(st.Wanted[name], all, t.limit)
-			more := storage.Amount{Cores: n.moreShare(free.Cores, fair.Cores-have.Cores, all.Cores, t.limit.Cores),
-				Cards: n.moreShare(free.Cards, fair.Cards-have.Cards, all.Cards, t.limit.Cards)}
+			have, part := n.grantRecs[i].v.Shares[name], parts[i]
+			more := storage.Amount{Cores: n.moreShare(free.Cores, part.Cores-have.Cores, all.Cores, t.limit.Cores),
+				Cards: n.moreShare(free.Cards, part.Cards-have.Cards, all.Cards, t.limit.Cards)}
 			if more.Cores < 1e-6 && more.Cards < 1e-6 || !d.share(i, name, storage.Amount{Cores: have.Cores + more.Cores, Cards: have.Cards + more.Cards}) {
 				continue
 			}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -32,6 +32,7 @@
 	peers   map[string]Peer
 	direct  Direct
 	limiter *dispatch.Limiter
+	guards  dispatch.Guards // left out by a test
 	now     func() time.Time
 	cpu     func() time.Duration                // processor time used so far
 	stored  func(id string) (storage.End, bool) // a job's end, if the state service is known to have it
--- a/internal/coordination/pairs_test.go
+++ b/internal/coordination/pairs_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"reedtrack/internal/dispatch"
 )
 
 // usual is a fault of a kind with what it mostly takes.
@@ -118,6 +120,10 @@
 		{"what a report without the new term lacks may be there", "", "a report is held back until a new leader has acted", nil, takenOut{order: true, term: true}},
 		{"transactions hold only if what they change is as it was read", "", "a transaction without an answer is carried out late", nil, takenOut{conditions: true}},
 		{"a direct start without an answer binds its task", "ran_twice", "a command or its answer is held up", nil, takenOut{binding: true}},
+		{"a start that is held up for minutes binds its task", "ran_twice", "a start is held up for minutes", nil, takenOut{binding: true}},
+		{"nothing of the former holder's is absent before the lease is over", "ran_twice", "the former holder's command arrives before", soon, takenOut{}},
+		{"an attempt of which a copy may come is not forgotten", "", "a late start meets an attempt that has ended", func(n *Node) { n.guards = dispatch.WithoutMemory }, takenOut{}},
+		{"a halt of an attempt that may be unknown goes out after its start", "ran_cancelled", "a late start lands after a confirmed cancellation", func(n *Node) { n.guards = dispatch.WithoutStartHalt }, takenOut{}},
 	} {
 		t.Run(c.guard, func(t *testing.T) {
 			t.Parallel()
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -111,9 +111,27 @@
 		}
 	}
 	s.freed = false
+	s.measureUnits()
 	return left
 }
 
+// measureUnits notes the least that one of a team's waiting tasks takes.
+func (s *shard) measureUnits() {
+	clear(s.units)
+	least := func(a, b float64) float64 {
+		if a == 0 || b > 0 && b < a {
+			return b
+		}
+		return a
+	}
+	for _, j := range s.queue {
+		if j.waiting() > 0 {
+			u := s.units[j.spec.Team]
+			s.units[j.spec.Team] = storage.Amount{Cores: least(u.Cores, j.need[0]), Cards: least(u.Cards, j.need[1])}
+		}
+	}
+}
+
 // fill places waiting tasks on a machine on which room has come free, in the
 // order of the last plan. That plan left no task that fits on another machine,
 // so the lowest score is to be had here; gangs wait for the next plan.
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -187,13 +187,16 @@
 	// what this controller wants of the leader
 	rent    []rentWant
 	wanted  map[string]storage.Amount
+	units   map[string]storage.Amount // the least that a waiting task takes, by team
 	fits    []kind
 	writes  bool   // a grant write is under way
 	wrote   uint64 // revision of the last one that succeeded
 	wroteAt time.Time
 	triedAt time.Time
-	freed   bool // room has come free since tasks were last placed
-	news    bool // something has come up that a plan or a write should not wait for
+	// loweredAt is when shares were last lowered.
+	loweredAt time.Time
+	freed     bool // room has come free since tasks were last placed
+	news      bool // something has come up that a plan or a write should not wait for
 	// unread jobs have a record that can't be read: they are left alone.
 	unread map[string]bool
 	stages *stages.Recorder
@@ -215,7 +218,7 @@
 func newShard(index int, rec storage.Shard, stamp uint64, now time.Time) *shard {
 	return &shard{index: index, term: rec.Term, stamp: stamp, since: now,
 		machines: map[string]*machine{}, jobs: map[string]*job{},
-		shares: map[string]storage.Amount{}, used: map[string]storage.Amount{}, caps: map[string]storage.Amount{}, wanted: map[string]storage.Amount{}, boots: map[kind][]boot{}}
+		shares: map[string]storage.Amount{}, used: map[string]storage.Amount{}, caps: map[string]storage.Amount{}, wanted: map[string]storage.Amount{}, units: map[string]storage.Amount{}, boots: map[kind][]boot{}}
 }
 
 // token is what workers of this machine are given: the term of the shard's
--- /dev/null
+++ b/internal/coordination/simcloud_test.go
@@ -0,0 +1,168 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"reedtrack/internal/protocol"
+)
+
+type simCloud struct{ w *world }
+
+func (c simCloud) call() error {
+	time.Sleep(time.Duration(20+c.w.intn(80)) * time.Millisecond)
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	if c.w.noCloud || c.w.rnd.IntN(50) == 0 {
+		return errors.New("trouble")
+	}
+	return nil
+}
+
+func (c simCloud) Catalog(context.Context) (protocol.Catalog, error) {
+	return protocol.Catalog{Breeds: simBreeds}, c.call()
+}
+
+func (c simCloud) Rent(_ context.Context, r protocol.Rental) ([]string, error) {
+	if err := c.call(); err != nil {
+		return nil, err
+	}
+	w := c.w
+	if late := w.lateCall(); late > 0 {
+		w.goes(func() {
+			sleep(w.ctx, late)
+			c.rent(r)
+		})
+		return nil, errors.New("no answer")
+	}
+	return c.rent(r)
+}
+
+// rent carries a rental out.
+func (c simCloud) rent(r protocol.Rental) ([]string, error) {
+	w := c.w
+	w.mu.Lock()
+	if got, ok := w.asks[r.Ask]; ok {
+		w.mu.Unlock()
+		return got, nil
+	}
+	var names []string
+	for range r.HowMany {
+		if len(w.workers) >= w.most {
+			break
+		}
+		w.next++
+		m := &worker{w: w, id: fmt.Sprintf("host-%06d", w.next), r: r, born: time.Now(), tasks: map[string]*wtask{}}
+		for _, b := range simBreeds {
+			if b.Name == r.Breed {
+				m.breed = b
+			}
+		}
+		w.workers[m.id] = m
+		names = append(names, m.id)
+		boot := time.Duration(float64(time.Second) * m.breed.ReadyS * (0.6 + w.rnd.Float64()))
+		if w.quick {
+			boot = time.Duration(w.rnd.IntN(2000)) * time.Millisecond
+		}
+		if w.rnd.IntN(12) > 0 { // a few never come up
+			m.boots = time.Now().Add(boot)
+			w.wg.Add(1)
+			go func() { defer w.wg.Done(); m.run(boot) }()
+		}
+	}
+	if len(names) == 0 {
+		w.mu.Unlock()
+		return nil, ErrNoCapacity
+	}
+	w.asks[r.Ask] = names
+	lost := w.rnd.IntN(10) == 0
+	f := w.rented
+	w.rented = nil
+	w.mu.Unlock()
+	if f != nil {
+		f()
+		lost = true
+	}
+	if lost {
+		return nil, errors.New("no answer")
+	}
+	return names, nil
+}
+
+func (c simCloud) Release(_ context.Context, names []string) error {
+	if err := c.call(); err != nil {
+		return err
+	}
+	if late := c.w.lateCall(); late > 0 {
+		c.w.mu.Lock()
+		for _, id := range names {
+			c.w.returned[id] = true
+		}
+		c.w.mu.Unlock()
+		c.w.goes(func() {
+			sleep(c.w.ctx, late)
+			c.released(names)
+		})
+		return errors.New("no answer")
+	}
+	c.released(names)
+	return nil
+}
+
+// released takes machines away with all that is on them.
+func (c simCloud) released(names []string) {
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	for _, id := range names {
+		if m := c.w.workers[id]; m != nil {
+			m.die()
+			delete(c.w.workers, id)
+		}
+	}
+}
+
+// longestCall is how late a call to the cloud is carried out, at most.
+const longestCall = 40 * time.Second
+
+// lateCall is how late a call to the cloud is carried out; 0: at once.
+func (w *world) lateCall() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.rnd.Float64() >= w.lateCloud {
+		return 0
+	}
+	w.noted("call to the cloud carried out late")
+	return shortestHold + time.Duration(w.rnd.Int64N(int64(longestCall-shortestHold)))
+}
+
+func (c simCloud) List(_ context.Context, since string) (protocol.MachineList, error) {
+	if err := c.call(); err != nil {
+		return protocol.MachineList{}, err
+	}
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	var l protocol.MachineList
+	for id, m := range c.w.workers {
+		if id <= since || time.Since(m.born) < 2*time.Second {
+			continue
+		}
+		st := "starting"
+		if m.dead {
+			st = "failed"
+		} else if !m.boots.IsZero() && time.Now().After(m.boots) {
+			st = "running"
+		}
+		l.Machines = append(l.Machines, protocol.ListedMachine{ID: id, Breed: m.r.Breed, Zone: m.r.Zone, Spot: m.r.Spot,
+			Status: st, AgeS: time.Since(m.born).Seconds()})
+	}
+	slices.SortFunc(l.Machines, func(a, b protocol.ListedMachine) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return l, nil
+}
