Deputies: a cut between zones stops no task; late commands, names and confirmations

Cause: one holder has machines of all zones; when two zones don't reach each other workers of the other zone drop their tasks when their lease is over.

--- a/internal/coordination/answer.go
+++ b/internal/coordination/answer.go
@@ -22,6 +22,9 @@
 	}
 	s := n.shards[i]
 	if s == nil {
+		if orders, ok := n.answerFor(r, i, now); ok {
+			return 200, orders, ""
+		}
 		return 421, orders, n.redirect(n.shardRecs[i].v.Holder.Name)
 	}
 	m := s.machines[r.Machine]
--- a/internal/coordination/dispatch.go
+++ b/internal/coordination/dispatch.go
@@ -67,6 +67,9 @@
 	for _, i := range n.shardNumbers() {
 		s := n.shards[i]
 		for _, m := range s.sorted() {
+			if n.deputies.named[i][m.block.Machine] {
+				continue // another answers it, or is about to: see confirmable
+			}
 			if t, some := m.target(now); some {
 				t.Worker = len(machines)
 				machines, list = append(machines, target{s, m}), append(list, t)
--- a/internal/coordination/faults_test.go
+++ b/internal/coordination/faults_test.go
@@ -49,6 +49,7 @@
 	slowDirect   kindOf = "direct commands and their answers are held up"
 	zoneCut      kindOf = "a zone is cut off"
 	zoneInside   kindOf = "a zone is cut off with a controller in it"
+	zonesApart   kindOf = "two zones don't reach each other"
 	cloudAway    kindOf = "the cloud is away"
 	cancelNow    kindOf = "jobs that run are cancelled at once"
 	cancelAtEnd  kindOf = "jobs are cancelled as they end"
@@ -62,7 +63,7 @@
 
 // allKinds lists the kinds that pairs are made of.
 var allKinds = []kindOf{ends, stands, refused, cutOff, peersApart, noWorkers, outageOfAll, slowState, lateWrites, lostAnswers,
-	lateReports, keptReports, deafMachines, muteMachines, hangs, dies, sickness, taken, slowDirect, zoneCut, zoneInside, cloudAway,
+	lateReports, keptReports, deafMachines, muteMachines, hangs, dies, sickness, taken, slowDirect, zoneCut, zoneInside, zonesApart, cloudAway,
 	cancelNow, cancelAtEnd, oddRequests, closeLooks, handOver, slowLinks, lateCommands, lateCloud}
 
 // role says whom a fault strikes, as it stands at that moment.
@@ -96,6 +97,8 @@
 	order      bool // reports are not told apart by age: a copy seems to be the newest
 	term       bool // nor by term: a copy seems to know the newest
 	conditions bool // transactions have none
+	reads      bool // users are told what a controller read seconds ago
+	halts      bool // deputies stop nothing
 	binding    bool // a direct command without an answer counts as never sent
 }
 
@@ -305,6 +308,8 @@
 			}
 			w.nodes[in].in = false
 		})
+	case zonesApart:
+		return set(func() { w.apart = true }, func() { w.apart = false })
 	case cloudAway:
 		return set(func() { w.noCloud = true }, func() { w.noCloud = false })
 	case slowLinks:
@@ -373,7 +378,7 @@
 	defer w.mu.Unlock()
 	w.trials = trials{bad: w.bad, kept: w.kept}
 	w.over = time.Now()
-	w.noCloud, w.cutZone = false, ""
+	w.noCloud, w.cutZone, w.apart = false, "", false
 	for _, n := range w.nodes {
 		n.cutW, n.cutP, n.cutU, n.in, n.still = false, false, false, false, time.Time{}
 		if n.wire != nil {
@@ -389,7 +394,7 @@
 
 // reaches tells whether workers of a zone and a controller reach each other.
 func (w *world) reaches(zone string, n *simNode) bool {
-	return !n.cutW && (w.cutZone == "" || n.in == (zone == w.cutZone))
+	return !n.cutW && (w.cutZone == "" || n.in == (zone == w.cutZone)) && (!w.apart || n.zone == "" || n.zone == zone)
 }
 
 // holdsUp is how much longer what a controller sends to the state service, or
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -94,6 +94,12 @@
 		}
 		return err
 	}
+	if id, ok := storage.CutDeputy(path); ok {
+		return n.applyDeputy(id, data, stamp)
+	}
+	if id, ok := storage.CutConfirm(path); ok {
+		return n.applyConfirmation(id, data, stamp)
+	}
 	if mine, err := n.applyForm(path, data, stamp); mine {
 		return err
 	}
--- a/internal/coordination/forms.go
+++ b/internal/coordination/forms.go
@@ -27,7 +27,10 @@
 
 // knowsForm tells whether this version knows the form that records have. One
 // that doesn't must not act.
-func (n *Node) knowsForm() bool { return n.form.v.Form <= storage.FormSplit }
+func (n *Node) knowsForm() bool { return n.form.v.Form <= storage.FormNewest }
+
+// deputiesOn tells whether every controller knows what a deputy's record means.
+func (n *Node) deputiesOn() bool { return n.form.v.Form >= storage.FormDeputies }
 
 // limits are what the state service is known to take of writes from now on.
 // What production writes before the switch fits the present limits; afterwards
@@ -53,18 +56,18 @@
 // be up at the same time, and nothing ever takes the switch back.
 func (n *Node) leaveMark(ctx context.Context) {
 	n.mu.Lock()
-	form := storage.Form{Form: storage.FormSplit}
+	form := storage.Form{Form: storage.FormNewest}
 	var txn protocol.Txn
 	what := ""
 	knows := 0
 	for _, m := range n.marks {
-		if m.v.Form >= storage.FormSplit {
+		if m.v.Form >= storage.FormNewest {
 			knows++
 		}
 	}
 	switch {
-	case n.switched():
-	case n.marks[n.set.HostName].v.Form < storage.FormSplit:
+	case n.form.v.Form >= storage.FormNewest:
+	case n.marks[n.set.HostName].v.Form < storage.FormNewest:
 		what = "mark"
 		txn.Writes = []protocol.Write{{Put: storage.MarkKey(n.set.HostName), Data: form}}
 	case knows >= n.set.Deployment.Count && n.me(n.leaderRec.v):
@@ -93,7 +96,7 @@
 	was := n.switched()
 	defer func() { transport.Form.Set(float64(max(n.form.v.Form, storage.FormWhole))) }()
 	if err := one(&n.form, data, stamp); err != nil {
-		n.form.v.Form = storage.FormSplit + 1 // not known: this version must not act
+		n.form.v.Form = storage.FormNewest + 1 // not known: this version must not act
 		return true, err
 	}
 	if n.switched() && !was {
--- a/internal/coordination/gap_test.go
+++ b/internal/coordination/gap_test.go
@@ -50,9 +50,7 @@
 	w.bad = 0
 	w.set.Deployment.Teams = []config.Team{{Name: "red", CPUsMax: 40}}
 	stop := w.open()
-	for i := range 3 {
-		w.nodes = append(w.nodes, &simNode{name: fmt.Sprintf("n%d", i)})
-	}
+	w.addNodes(3)
 	for i := range w.nodes {
 		w.start(i)
 	}
@@ -144,7 +142,7 @@
 	bound := config.Total(set.CancelBound(set.Defaults()))
 	lease := set.Defaults().HolderLease
 	worst := make(chan time.Duration, 1000)
-	met := make(chan bool, 1000)
+	reached := make(chan bool, 1000)
 	t.Run("gaps", func(t *testing.T) {
 		for i, g := range gaps(lease) {
 			t.Run(g.String(), func(t *testing.T) {
@@ -161,19 +159,19 @@
 				if len(w.notes["confirmed"]) == 0 && g.between >= time.Second {
 					t.Error("nothing was confirmed")
 				}
-				met <- len(w.notes["confirmed while a controller is refused"]) > 0
+				reached <- len(w.notes["confirmed while a controller is refused"]) > 0
 				worst <- w.worst
 			})
 		}
 	})
 	close(worst)
-	close(met)
+	close(reached)
 	var most time.Duration
 	for d := range worst {
 		most = max(most, d)
 	}
 	inGap := 0
-	for m := range met {
+	for m := range reached {
 		if m {
 			inGap++
 		}
@@ -181,7 +179,7 @@
 	// The bound is no looser than what its terms leave for clocks and timers: the
 	// lease of a worker at least has been seen.
 	if workers := config.Seconds(set.Deployment.Workers.LeaseS); most < workers {
-		t.Errorf("the longest was %v: no meeting was the one that the bound is for", most)
+		t.Errorf("the longest was %v: no scenario was the one that the bound is for", most)
 	}
 	if inGap < 20 {
 		t.Errorf("in %d only a cancellation was confirmed while a controller was refused", inGap)
--- a/internal/coordination/gossip.go
+++ b/internal/coordination/gossip.go
@@ -31,7 +31,9 @@
 	Fits    []kind
 	Used    map[string]storage.Amount
 	Wanted  map[string]storage.Amount
-	Units   map[string]storage.Amount // the least that a waiting task takes, by team; none from older versions
+	// Units is the least that a waiting task takes, by team. It is sent once every
+	// controller runs a version that knows it.
+	Units   map[string]storage.Amount `cbor:",omitempty"`
 	Running map[string]int
 }
 
@@ -68,6 +70,7 @@
 			slog.Debug("link", "peer", name, "err", err)
 		} else {
 			n.mu.Lock()
+			n.deputies.reached[name] = n.now()
 			n.takeReply(&r)
 			n.mu.Unlock()
 		}
@@ -94,7 +97,9 @@
 		for t, w := range s.wanted {
 			ss.Wanted[t] = w
 		}
-		ss.Units = maps.Clone(s.units)
+		if n.deputiesOn() {
+			ss.Units = maps.Clone(s.units)
+		}
 		for id, j := range s.jobs {
 			if k := len(j.runs); k > 0 {
 				ss.Running[id] = k
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -68,21 +68,22 @@
 	sizes        map[string]placement.Vector
 	teams        map[string]team
 
-	served  served         // how classes and teams were served of late
-	shards  map[int]*shard // those held by this controller
-	others  map[string]*Status
-	meter   meter
-	number  int // of this controller among all
-	pending map[string]pending
-	told    *Status // last told to the others
-	lead    *leader
-	ended   map[string]storage.End // ends that are certain
-	endedQ  []string
-	refuse  map[kind]time.Time
-	gone    map[string]bool
-	unknown map[string]bool // jobs that others wait for and whose end has to be read
-	bad     map[string]bool // machines found faulty, for the leader to replace
-	hearing hearing
+	served   served         // how classes and teams were served of late
+	shards   map[int]*shard // those held by this controller
+	others   map[string]*Status
+	meter    meter
+	number   int // of this controller among all
+	pending  map[string]pending
+	told     *Status // last told to the others
+	lead     *leader
+	ended    map[string]storage.End // ends that are certain
+	endedQ   []string
+	refuse   map[kind]time.Time
+	gone     map[string]bool
+	unknown  map[string]bool // jobs that others wait for and whose end has to be read
+	bad      map[string]bool // machines found faulty, for the leader to replace
+	hearing  hearing
+	deputies deputies
 }
 
 type entry[T any] struct {
@@ -128,6 +129,7 @@
 	n.past = map[string]*session.Past{}
 	n.own = session.New(session.RulesFor(n.timing.HolderLease), 0)
 	n.pending = map[string]pending{}
+	n.deputies = newDeputies(n.timing)
 	n.hearing = newHearing(config.Seconds(set.Deployment.Workers.ReportS))
 	d := &set.Deployment
 	n.limiter = dispatch.NewLimiter(dispatch.LimitsFor(config.Seconds(d.Workers.ReportS), d.Limits.CPUShare, d.Limits.MaxSockets))
--- a/internal/coordination/production_test.go
+++ b/internal/coordination/production_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -94,18 +95,24 @@
 		t.Error("machines are missing with a piece that can't be read")
 	}
 	// A form of a later version stops this one.
-	n.apply(storage.FormKey, []byte(`{"form":3}`), stamp+1)
+	n.apply(storage.FormKey, fmt.Appendf(nil, `{"form":%d}`, storage.FormNewest+1), stamp+1)
 	if n.knowsForm() {
 		t.Error("acts on a form that it doesn't know")
 	}
 }
 
-// The switch needs the marks of all controllers, up or not, and is the leader's.
+// The switch needs the marks of all controllers, up or not, and is the leader's. A
+// mark of an older form does not count, and is left anew.
 func TestSwitchNeedsAllMarks(t *testing.T) {
 	w := newWorld(1, nil)
 	var sent []protocol.Txn
 	n := New(w.set, w.set.Defaults(), storage.NewClientOver(recorder{&sent}, 1000, 1000, 1), nil, nil, nil)
 	n.session, n.leaderRec.v = 4, storage.Node{Name: "n0", Session: 4}
+	n.apply(storage.MarkKey("n0"), []byte(`{"form":2}`), 7)
+	n.apply(storage.MarkKey("n1"), []byte(`{"form":2}`), 8)
+	n.apply(storage.MarkKey("n2"), []byte(`{"form":2}`), 9)
+	n.apply(storage.FormKey, []byte(`{"form":2}`), 9)
+	newest := 0
 	for _, want := range []string{storage.MarkKey("n0"), "", "", storage.FormKey, ""} {
 		sent = nil
 		n.leaveMark(t.Context())
@@ -114,16 +121,18 @@
 			got = sent[0].Writes[0].Put
 		}
 		if got != want {
-			t.Fatalf("with %d marks: writes %q, want %q", len(n.marks), got, want)
+			t.Fatalf("with %d marks: writes %q, want %q", newest, got, want)
 		}
-		switch len(n.marks) {
+		form := fmt.Appendf(nil, `{"form":%d}`, storage.FormNewest)
+		switch newest {
 		case 0, 1, 2:
-			n.apply(storage.MarkKey(string([]byte{'n', byte('0' + len(n.marks))})), []byte(`{"form":2}`), uint64(10+len(n.marks)))
+			n.apply(storage.MarkKey(fmt.Sprint("n", newest)), form, uint64(10+newest))
+			newest++
 		case 3:
-			n.apply(storage.FormKey, []byte(`{"form":2}`), 20)
+			n.apply(storage.FormKey, form, 20)
 		}
 	}
-	if !n.switched() {
+	if !n.switched() || !n.deputiesOn() {
 		t.Error("not switched")
 	}
 }
--- a/internal/coordination/simworker_test.go
+++ b/internal/coordination/simworker_test.go
@@ -169,6 +169,9 @@
 func (m *worker) lease(now time.Time) {
 	if now.Sub(m.sent).Seconds() > m.w.set.Deployment.Workers.LeaseS {
 		for _, t := range m.tasks {
+			if t.active {
+				m.w.noted("a worker's lease ends with a task on it")
+			}
 			m.off(t)
 		}
 		m.tasks = map[string]*wtask{}
@@ -248,6 +251,7 @@
 	w.mu.Unlock()
 	status, orders, answerTo := 0, protocol.Orders{}, ""
 	var answered time.Time
+	holds := false    // who answers holds the machine's shard
 	if held && !cut { // delivered, but so late that nobody waits for the answer
 		w.goes(func() {
 			time.Sleep(late)
@@ -259,7 +263,7 @@
 	} else if n != nil && !cut {
 		time.Sleep(max(still, 0))
 		status, orders, answerTo = n.Checkin(r)
-		answered = time.Now()
+		answered, holds = time.Now(), n.holds(m.id)
 		time.Sleep(time.Duration(1+w.intn(30))*time.Millisecond + w.slowLink())
 		if w.chance(0.02) { // the answer is lost
 			time.Sleep(4 * time.Second)
@@ -291,7 +295,14 @@
 			m.token, m.changed = orders.Token, true
 		}
 		m.sent = sent
-		w.owns(m.id, orders.Token, n)
+		if holds {
+			w.owns(m.id, orders.Token, n)
+		} else {
+			w.checkDeputy(m, orders)
+			if w.takenOut.halts {
+				orders.Orders = nil
+			}
+		}
 		m.obey(orders.Orders, answered)
 	case status == 421 && answerTo != "" && answerTo != w.nodes[to].name:
 		for i, o := range w.nodes {
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -77,6 +77,7 @@
 	n.markWithin()
 	p := n.planner(now)
 	n.listen(p, now)
+	n.deputize(now)
 	// What weighs everything against everything takes effect with the
 	// workers' reports: a few times in each of their rounds is enough.
 	thorough := now.Sub(n.weighed) >= p.report/4
@@ -92,6 +93,7 @@
 				m.gone = true
 			}
 		}
+		n.coverNamed(s, now)
 		s.silent(now, n.timing.WorkerGone)
 		if thorough {
 			s.slowness(now)
@@ -119,6 +121,7 @@
 	n.mu.Unlock()
 	if acts {
 		n.leaveMark(ctx)
+		n.writeDeputies(ctx)
 		n.flush(ctx)
 		n.writeGrants(ctx)
 		n.moveJobs(ctx)
--- a/internal/coordination/wire_test.go
+++ b/internal/coordination/wire_test.go
@@ -30,7 +30,9 @@
 	// or a slow service does.
 	late, lost float64
 	busy, slow func() time.Duration
-	bare       bool              // transactions lose their conditions
+	bare       bool // transactions lose their conditions
+	stale      bool // what was read once is answered again for a while
+	reads      map[string]read
 	note       func(what string) // what became of the above
 	sent       uint64            // transactions so far, and the newest carried out
 	newest     uint64
@@ -38,10 +40,41 @@
 	own        []byte // the last transaction that wrote a controller's key
 }
 
+// read is what the store answered to a request.
+type read struct {
+	at     time.Time
+	status int
+	answer any
+}
+
+// staleFor is how long an answer is repeated where reads are stale.
+const staleFor = 3 * time.Second
+
+// get reads a key, or repeats what was read a while ago.
+func (w *wire) get(r *http.Request) (int, any) {
+	w.mu.Lock()
+	old, ok := w.reads[r.URL.Path]
+	w.mu.Unlock()
+	if w.stale && ok && time.Since(old.at) < staleFor {
+		return old.status, old.answer
+	}
+	now := read{at: time.Now()}
+	now.status, now.answer = w.s.Serve(r.Context(), r.Method, r.URL.Path, r.URL.Query(), nil)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reads == nil {
+		w.reads = map[string]read{}
+	}
+	w.reads[r.URL.Path] = now
+	return now.status, now.answer
+}
+
 // newKeys are the keys that the version before does not know.
 func newKey(path string) bool {
 	_, mark := storage.CutMark(path)
-	return mark || path == storage.FormKey
+	_, deputy := storage.CutDeputy(path)
+	_, confirmation := storage.CutConfirm(path)
+	return mark || deputy || confirmation || path == storage.FormKey
 }
 
 // hide keeps the keys of an upgrade from a controller that plays the version
@@ -121,6 +154,8 @@
 		}
 		<-ctx.Done()
 		return nil, ctx.Err()
+	case w.stale && r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/keys/"):
+		status, answer = w.get(r)
 	default:
 		status, answer = w.s.Serve(ctx, r.Method, r.URL.Path, r.URL.Query(), body)
 		if r.URL.Path == "/multi" && status == 200 {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -31,6 +31,7 @@
 	asks    map[string][]string
 	next    int
 	noCloud bool
+	apart   bool   // workers and controllers of one zone don't reach those of another
 	cutZone string // its workers and the controllers outside don't reach each other
 	most    int    // machines that the cloud has
 	fill    int    // machines a shard
@@ -61,7 +62,7 @@
 	directs  int // messages sent straight to workers and carried out
 	broken   []string
 	hist     *history
-	notes    map[string][]time.Time // what happened, to prove that a meeting took place
+	notes    map[string][]time.Time // what happened, to prove that a scenario took place
 	worst    time.Duration          // the longest that a task stayed after its job was cancelled
 	firstOn  map[string]time.Time   // when a job's first task ran
 	firstEnd map[string]time.Time   // and when the first ended
@@ -87,6 +88,7 @@
 	cutP bool // the other controllers and it don't reach each other
 	cutU bool // users do not reach it
 	in   bool // inside the zone that is cut off
+	zone string
 	// still: the process stands still until then: nothing that it made up leaves,
 	// and nothing arrives.
 	still time.Time
@@ -162,7 +164,9 @@
 	to := p.w.nodes[p.to]
 	n, cut := to.node, to.cutP || to.in
 	for _, o := range p.w.nodes {
-		cut = cut || o.name == p.from && (o.cutP || o.in || time.Now().Before(o.still))
+		if o.name == p.from {
+			cut = cut || o.cutP || o.in || time.Now().Before(o.still) || p.w.apart && o.zone != to.zone
+		}
 	}
 	still := time.Until(to.still)
 	p.w.mu.Unlock()
@@ -188,7 +192,7 @@
 
 func (w *world) start(i int) {
 	set := *w.set
-	set.HostName = w.nodes[i].name
+	set.HostName, set.Location = w.nodes[i].name, w.nodes[i].zone
 	op := set.Defaults()
 	op.Fill = w.fill // so that all shards get jobs
 	if w.shards > 0 {
@@ -204,7 +208,7 @@
 	old := w.nodes[i].old
 	w.mu.Unlock()
 	wr := &wire{s: w.store, rnd: rand.New(rand.NewPCG(uint64(w.intn(1e6)), 7)), bad: w.bad, old: old, note: w.note, slow: w.slowNow, busy: func() time.Duration { return w.holdsUp(i) }}
-	wr.late, wr.lost, wr.bare = w.lateWrites, w.lostAnswers, w.takenOut.conditions
+	wr.late, wr.lost, wr.bare, wr.stale = w.lateWrites, w.lostAnswers, w.takenOut.conditions, w.takenOut.reads
 	st := storage.NewClientOver(wr, set.Deployment.State.RPS, set.Deployment.State.WriteRPS, 3)
 	n := w.newNode(i, &set, op, st, peers)
 	n.cpu = func() time.Duration { return 0 }
@@ -218,6 +222,13 @@
 	w.goes(func() { n.Run(ctx) })
 }
 
+// addNodes adds controllers, in the zones in turn.
+func (w *world) addNodes(count int) {
+	for i := range count {
+		w.nodes = append(w.nodes, &simNode{name: fmt.Sprintf("n%d", i), zone: []string{"a", "b"}[i%2]})
+	}
+}
+
 func (w *world) kill(i int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -328,9 +339,7 @@
 // over. It is called in a bubble of simulated time.
 func (w *world) play(jobs int, rough, calm time.Duration) {
 	stop := w.open()
-	for i := range 3 {
-		w.nodes = append(w.nodes, &simNode{name: fmt.Sprintf("n%d", i)})
-	}
+	w.addNodes(3)
 	for i := range w.nodes {
 		w.nodes[i].old = w.upgrade
 		w.start(i)
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -27,14 +27,20 @@
 	mark    = "r/mark/"
 	piece   = "r/piece/"
 	part    = "r/done/"
+	deputy  = "r/deputy/"
+	confirm = "r/named/"
 )
 
 // Forms of records. FormWhole is what the first versions write: one record a
 // shard, and what is done of a job in the job's own. FormSplit divides both
-// over values of any size and lets jobs wait for others.
+// over values of any size and lets jobs wait for others. With FormDeputies a
+// controller may answer for a holder that it does not reach: every holder knows
+// what a Deputy record means.
 const (
-	FormWhole = 1
-	FormSplit = 2
+	FormWhole    = 1
+	FormSplit    = 2
+	FormDeputies = 3
+	FormNewest   = FormDeputies
 )
 
 // Form says in which form records may be written: it is set once every
@@ -46,6 +52,26 @@
 // Mark says that a controller has run a version that knows a form.
 type Mark = Form
 
+// Deputy names machines of a shard whose reports a controller answers, or is about
+// to, in place of the shard's holder. It hangs on the controller's session. While it
+// stands nobody takes the machines' silence for the end of their tasks. The deputy
+// answers once the holder has confirmed this very record, see Confirmation.
+type Deputy struct {
+	Session  uint64   `json:"session"`
+	Term     uint64   `json:"term"` // of the shard, as the deputy knows it
+	Machines []string `json:"machines"`
+}
+
+// Confirmation is the holder's word to a deputy's record: it knows that the machines
+// are named, and no start that it sent straight to one of these may still arrive. It
+// hangs on the holder's session.
+type Confirmation struct {
+	Stamp    uint64   `json:"of"` // of the deputy's record
+	Session  uint64   `json:"session"`
+	Term     uint64   `json:"term"`
+	Machines []string `json:"machines"`
+}
+
 // Piece holds some of a shard's blocks. It counts only while the shard's grant
 // names the same Of: pieces are staged one after the other, and the grant's
 // one write makes them count together.
@@ -82,6 +108,41 @@
 	return i, k, n == 2
 }
 
+// DeputyID names a deputy's record: a shard, the deputy, and which of its records.
+type DeputyID struct {
+	Shard  int
+	Node   string
+	Record int
+}
+
+func (d DeputyID) path(prefix string) string {
+	return fmt.Sprintf("%s%d/%s/%d", prefix, d.Shard, d.Node, d.Record)
+}
+
+// DeputyKey is where a deputy names machines, ConfirmKey where the holder confirms
+// that.
+func DeputyKey(d DeputyID) string  { return d.path(deputy) }
+func ConfirmKey(d DeputyID) string { return d.path(confirm) }
+
+// CutDeputy and CutConfirm take such keys apart.
+func CutDeputy(key string) (DeputyID, bool)  { return cutDeputy(key, deputy) }
+func CutConfirm(key string) (DeputyID, bool) { return cutDeputy(key, confirm) }
+
+func cutDeputy(key, prefix string) (DeputyID, bool) {
+	rest, ok := strings.CutPrefix(key, prefix)
+	if !ok {
+		return DeputyID{}, false
+	}
+	number, rest, _ := strings.Cut(rest, "/")
+	slash := strings.LastIndexByte(rest, '/')
+	if slash < 0 {
+		return DeputyID{}, false
+	}
+	shard, err := strconv.Atoi(number)
+	record, err2 := strconv.Atoi(rest[slash+1:])
+	return DeputyID{shard, rest[:slash], record}, err == nil && err2 == nil
+}
+
 // CutPart takes the key of a part apart.
 func CutPart(key string) (id string, from int, ok bool) {
 	rest, ok := strings.CutPrefix(key, part)
