A lowered share is written until the record has it; reports cost less in large shards

And every report looked at all machines of a shard for those that may run what nobody reported. Change: the write is repeated until the record shows it; such machines are kept in a set. Result: TestLostLoweringIsRepeated.

--- a/internal/coordination/checkin.go
+++ b/internal/coordination/checkin.go
@@ -50,6 +50,7 @@
 	clear(m.stray)
 	clear(m.cleared)
 	m.odd = false
+	s.uncertain[m] = true // until it is looked at: it may list what is not known
 	listed := s.follow(m, r, now, func(k taskKey, t protocol.TaskReport) bool {
 		s.foreign(m, k, t, now)
 		return m.runs[k] != nil && m.runs[k].attempt == t.Attempt
--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -47,6 +47,30 @@
 	}
 }
 
+// A write that lowered a share and was not carried out is repeated, also when nobody
+// is short any more: the share is not used meanwhile.
+func TestLostLoweringIsRepeated(t *testing.T) {
+	w := newWorld(1, nil)
+	sent := 0
+	st := storage.NewClientOver(tripper(func(*http.Request) (*http.Response, error) { sent++; return nil, errors.New("lost") }), 1000, 1000, 1)
+	n := New(w.set, w.set.Defaults(), st, nil, nil, nil)
+	rec := storage.Grant{Shares: map[string]storage.Amount{"red": {Cores: 14}}}
+	granted(n, 0, rec, 5)
+	s := newShard(0, storage.Shard{Term: 1}, 1, time.Now())
+	s.setGrant(rec, size4, time.Now())
+	n.shards[0] = s
+	n.others["n1"] = &Status{Shards: []ShardStatus{{Index: 1, Wanted: map[string]storage.Amount{"red": {Cores: 5}}}}}
+	time.Sleep(700 * time.Millisecond) // a process begins with few writes
+	n.writeGrants(context.Background())
+	delete(n.others, "n1")
+	s.wanted["red"] = storage.Amount{Cores: 14}
+	time.Sleep(giveBackEvery)
+	n.writeGrants(context.Background())
+	if sent != 2 || s.shares["red"].Cores != 0 {
+		t.Errorf("sent %d times, uses up to %v", sent, s.shares["red"])
+	}
+}
+
 // After a take-over a task that was not reported is absent only once every
 // inherited machine has reported with the new term, or has been silent for
 // longer than its worker's lease.
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -173,13 +173,16 @@
 	since    time.Time
 	machines map[string]*machine
 	list     []*machine // machines by name; nil: to be sorted anew
-	queue    []*job     // jobs with tasks to start, in the order of the last plan
-	jobs     map[string]*job
-	shares   map[string]storage.Amount
-	used     map[string]storage.Amount
-	caps     map[string]storage.Amount // fair parts of the shares that others are short of
-	settled  bool
-	attempts uint64
+	// uncertain holds every machine that may run tasks nobody has reported, and
+	// perhaps some that no longer do: a report must not cost a look at all machines.
+	uncertain map[*machine]bool
+	queue     []*job // jobs with tasks to start, in the order of the last plan
+	jobs      map[string]*job
+	shares    map[string]storage.Amount
+	used      map[string]storage.Amount
+	caps      map[string]storage.Amount // fair parts of the shares that others are short of
+	settled   bool
+	attempts  uint64
 	// what the leader last said
 	coming    []rentWant
 	comingVer uint64
@@ -217,7 +220,7 @@
 
 func newShard(index int, rec storage.Shard, stamp uint64, now time.Time) *shard {
 	return &shard{index: index, term: rec.Term, stamp: stamp, since: now,
-		machines: map[string]*machine{}, jobs: map[string]*job{},
+		machines: map[string]*machine{}, uncertain: map[*machine]bool{}, jobs: map[string]*job{},
 		shares: map[string]storage.Amount{}, used: map[string]storage.Amount{}, caps: map[string]storage.Amount{}, wanted: map[string]storage.Amount{}, units: map[string]storage.Amount{}, boots: map[kind][]boot{}}
 }
 
@@ -249,6 +252,7 @@
 			// A block granted under this very lease was empty, and nobody
 			// else can have started anything on it since.
 			settled: b.Term > s.term}
+		s.uncertain[s.machines[b.Machine]] = true
 		if b.Term > s.term {
 			s.machines[b.Machine].granted = now
 		}
@@ -362,15 +366,20 @@
 	s.used[r.job.spec.Team] = u
 }
 
+// unreported tells whether a machine may run tasks that nobody has reported.
+func (m *machine) unreported() bool { return !m.settled || m.odd || len(m.stray) > 0 }
+
 // unknown sums the machines that may run tasks nobody has reported: each
 // counts in full against every team.
 func (s *shard) unknown() storage.Amount {
 	var a storage.Amount
-	for _, m := range s.sorted() {
-		if !m.settled || m.odd || len(m.stray) > 0 {
-			a.Cores += max(0, m.size[0]-m.used[0])
-			a.Cards += max(0, m.size[1]-m.used[1])
+	for m := range s.uncertain {
+		if s.machines[m.block.Machine] != m || !m.unreported() {
+			delete(s.uncertain, m)
+			continue
 		}
+		a.Cores += max(0, m.size[0]-m.used[0])
+		a.Cards += max(0, m.size[1]-m.used[1])
 	}
 	return a
 }
@@ -381,8 +390,8 @@
 	if s.settled {
 		return
 	}
-	for _, m := range s.machines {
-		if !m.settled {
+	for m := range s.uncertain {
+		if s.machines[m.block.Machine] == m && !m.settled {
 			return
 		}
 	}
--- a/internal/coordination/shares.go
+++ b/internal/coordination/shares.go
@@ -65,7 +65,11 @@
 				share = keep
 			}
 		}
+		// A share that was lowered and whose write is not known to have been carried
+		// out is written until the record says so: it is not used meanwhile, and
+		// would idle for ever should nobody be short of it any more.
 		next[t] = least(share, s.shares[t])
+		lowered = lowered || next[t] != share
 	}
 	return next, lowered
 }
