--- a/internal/coordination/explore_test.go
+++ b/internal/coordination/explore_test.go
@@ -56,7 +56,7 @@
 
 // exBounds say how often the rarer events happen, so that the explorer gets
 // deep.
-type exBounds struct{ sent, asks, attempts, ends, expires, late, cancel, takeOver, handBack, stop int }
+type exBounds struct{ sent, asks, attempts, ends, expires, late, cancel, takeOver, handBack, stop, deputy int }
 
 type explorer struct {
 	guards  dispatch.Guards
@@ -159,6 +159,15 @@
 		if m == nil {
 			continue
 		}
+		// A deputy answers instead of the holder, which has confirmed that no start
+		// is under way.
+		if w.report != nil && x.bounds.deputy > 0 && m.settled && (!m.startUnderWay() || x.broken == "hasty deputy") {
+			out["deputy "+at] = func() {
+				x.bounds.deputy--
+				w.report, w.asked = nil, false
+				x.deputyAnswers(w, s.token(m))
+			}
+		}
 		if s == x.holder && x.canPlace(m) {
 			out["place "+at] = func() { s.place(x.job, x.job.take(), m) }
 		}
@@ -313,6 +322,19 @@
 	w.obey(o.Orders, x)
 }
 
+// deputyAnswers renews a worker's lease and stops what is cancelled.
+func (x *explorer) deputyAnswers(w *exWorker, token uint64) {
+	if token < w.token {
+		return
+	}
+	w.token, w.renewed, w.told = token, true, w.told || x.gone
+	for name, t := range w.has {
+		if x.gone && t.active {
+			w.has[name] = exTask{attempt: t.attempt, cause: protocol.CauseHalted}
+		}
+	}
+}
+
 func (w *exWorker) obey(orders []protocol.Order, x *explorer) {
 	for _, o := range orders {
 		t, ok := w.has[o.Task]
@@ -528,6 +550,7 @@
 		"stopped":        {exBounds{sent: 2, attempts: 2, stop: 1}, dispatch.WithoutMemory, ""},
 		"taken over":     {exBounds{sent: 2, attempts: 2, takeOver: 1, ends: 1}, 0, "trusting"},
 		"handed back":    {exBounds{sent: 1, attempts: 2, handBack: 1, ends: 1}, 0, "hasty"},
+		"a deputy":       {exBounds{sent: 1, attempts: 2, cancel: 1, deputy: 2}, 0, "hasty deputy"},
 		"lease over":     {exBounds{sent: 1, attempts: 2, expires: 1, ends: 1}, 0, "impatient"},
 	} {
 		t.Run(name, func(t *testing.T) {
