--- a/internal/coordination/simdirect_test.go
+++ b/internal/coordination/simdirect_test.go
@@ -170,6 +170,9 @@
 	if time.Since(c.made) > time.Minute {
 		w.noted("command a minute late " + outcome)
 	}
+	if c.Session < m.session {
+		w.noted("late command to the machine's next session " + outcome)
+	}
 	if c.Token < m.token {
 		w.noted("late command arrives after the next holder's")
 	}
