--- a/internal/coordination/guards_test.go
+++ b/internal/coordination/guards_test.go
@@ -19,18 +19,26 @@
 
 func size4(string) (placement.Vector, bool) { return placement.Vector{4, 0, 16}, true }
 
-// A share once lowered stays low until a newer record says otherwise: the write
-// that lowers it may be applied long after it was given up.
-func TestLoweredShareStays(t *testing.T) {
+// allOfRed is a controller whose shard has all of a team's limit and uses none of it
+// while another shard is short, and whose writes are lost.
+func allOfRed() (n *Node, s *shard, rec *storage.Grant, sent *int) {
 	w := newWorld(1, nil)
-	st := storage.NewClientOver(tripper(func(*http.Request) (*http.Response, error) { return nil, errors.New("lost") }), 1000, 1000, 1)
-	n := New(w.set, w.set.Defaults(), st, nil, nil, nil)
-	rec := storage.Grant{Shares: map[string]storage.Amount{"red": {Cores: 14}}}
-	granted(n, 0, rec, 5)
-	s := newShard(0, storage.Shard{Term: 1}, 1, time.Now())
-	s.setGrant(rec, size4, time.Now())
+	sent = new(int)
+	st := storage.NewClientOver(tripper(func(*http.Request) (*http.Response, error) { *sent++; return nil, errors.New("lost") }), 1000, 1000, 1)
+	n = New(w.set, w.set.Defaults(), st, nil, nil, nil)
+	rec = &storage.Grant{Shares: map[string]storage.Amount{"red": {Cores: 14}}}
+	granted(n, 0, *rec, 5)
+	s = newShard(0, storage.Shard{Term: 1}, 1, time.Now())
+	s.setGrant(*rec, size4, time.Now())
 	n.shards[0] = s
 	n.others["n1"] = &Status{Shards: []ShardStatus{{Index: 1, Wanted: map[string]storage.Amount{"red": {Cores: 5}}}}}
+	return n, s, rec, sent
+}
+
+// A share once lowered stays low until a newer record says otherwise: the write
+// that lowers it may be applied long after it was given up.
+func TestLoweredShareStays(t *testing.T) {
+	n, s, rec, _ := allOfRed()
 	n.writeGrants(context.Background())
 	if s.shares["red"].Cores != 0 {
 		t.Fatalf("kept %v, nothing is wanted", s.shares["red"])
@@ -41,7 +49,7 @@
 		t.Errorf("share rose to %v without a newer record", s.shares["red"])
 	}
 	rec.Shares = map[string]storage.Amount{"red": {Cores: 4}}
-	s.setGrant(rec, size4, time.Now())
+	s.setGrant(*rec, size4, time.Now())
 	if s.shares["red"].Cores != 4 {
 		t.Errorf("newer record not taken: %v", s.shares["red"])
 	}
@@ -50,24 +58,15 @@
 // A write that lowered a share and was not carried out is repeated, also when nobody
 // is short any more: the share is not used meanwhile.
 func TestLostLoweringIsRepeated(t *testing.T) {
-	w := newWorld(1, nil)
-	sent := 0
-	st := storage.NewClientOver(tripper(func(*http.Request) (*http.Response, error) { sent++; return nil, errors.New("lost") }), 1000, 1000, 1)
-	n := New(w.set, w.set.Defaults(), st, nil, nil, nil)
-	rec := storage.Grant{Shares: map[string]storage.Amount{"red": {Cores: 14}}}
-	granted(n, 0, rec, 5)
-	s := newShard(0, storage.Shard{Term: 1}, 1, time.Now())
-	s.setGrant(rec, size4, time.Now())
-	n.shards[0] = s
-	n.others["n1"] = &Status{Shards: []ShardStatus{{Index: 1, Wanted: map[string]storage.Amount{"red": {Cores: 5}}}}}
+	n, s, _, sent := allOfRed()
 	time.Sleep(700 * time.Millisecond) // a process begins with few writes
 	n.writeGrants(context.Background())
 	delete(n.others, "n1")
 	s.wanted["red"] = storage.Amount{Cores: 14}
 	time.Sleep(giveBackEvery)
 	n.writeGrants(context.Background())
-	if sent != 2 || s.shares["red"].Cores != 0 {
-		t.Errorf("sent %d times, uses up to %v", sent, s.shares["red"])
+	if *sent != 2 || s.shares["red"].Cores != 0 {
+		t.Errorf("sent %d times, uses up to %v", *sent, s.shares["red"])
 	}
 }
 
