A completed task no longer keeps the others of its job off a machine

Cause: a start that was never answered is remembered for as long as the machine's session lasts, and canPlaceOn kept every task of the job away, also once the started task had completed. Only another attempt of that same task would displace the ended one that makes a late copy harmless. Change: starts of completed tasks keep nothing away. Tasks of services and stopped tasks do as before.

--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -39,7 +39,7 @@
 // canPlaceOn reports whether a machine may get one more task of a job, free
 // capacity apart.
 func (j *job) canPlaceOn(m *machine) bool {
-	return m.acceptsTasks() && j.canRunOn(m) && (m.exchange.CountUnanswered() == 0 || !m.mayReceiveLateStart(j.id))
+	return m.acceptsTasks() && j.canRunOn(m) && (m.exchange.CountUnanswered() == 0 || !m.mayReceiveLateStart(j))
 }
 
 // canRunOn reports whether one more task of a job may run on a machine beside
@@ -49,11 +49,13 @@
 }
 
 // mayReceiveLateStart reports whether a copy of a start order of one of a job's
-// tasks may still arrive at a machine. Another attempt there would displace the
-// ended one that makes the copy harmless.
-func (m *machine) mayReceiveLateStart(id string) bool {
+// pending tasks may still arrive at a machine. Another attempt of that task there
+// would displace the ended one that makes the copy harmless. Completed tasks have
+// no further attempt: they keep no other task of the job away, or a single lost
+// answer would do so for as long as the machine is leased.
+func (m *machine) mayReceiveLateStart(j *job) bool {
 	for key := range m.exchange.UnansweredTasks() {
-		if key.job == id {
+		if key.job == j.id && !j.done.Contains(key.task) {
 			return true
 		}
 	}
@@ -96,12 +98,14 @@
 		placed := 0
 		if j.spec.IsGang() {
 			if allowed < pending || len(j.attempts) > 0 {
+				j.noteUnplaced(p.now)
 				continue // a gang starts as a whole, once its last attempt has ended everywhere
 			}
 			placed = p.placeGang(j, allowed, candidates)
 		} else {
 			placed = len(p.placeTasks(j, allowed, candidates))
 		}
+		j.noteUnplaced(p.now)
 		// What is unplaced of earlier jobs has a claim on the quota, too.
 		claim := claimed[j.spec.Team]
 		spoken := storage.Resources{Cores: unreported.Cores + claim.Cores, GPUs: unreported.GPUs + claim.GPUs}
@@ -115,6 +119,17 @@
 	return unplaced
 }
 
+// noteUnplaced notes since when tasks of the job have been left without a
+// machine.
+func (j *job) noteUnplaced(now time.Time) {
+	switch {
+	case j.pendingTasks() == 0:
+		j.unplacedSince = time.Time{}
+	case j.unplacedSince.IsZero():
+		j.unplacedSince = now
+	}
+}
+
 // resetDesired begins to sum what the teams desire with what they use.
 func (s *shard) resetDesired() {
 	clear(s.desired)
