Shares go where machines are, and jobs where room is, in another shard too

Change: shares that have had no machine for two heartbeats are divided last (quota.Demand.Startable); holders publish their room, and a job that waited for two heartbeats goes there; one with running tasks first lets them end. A stopped task with a lost answer keeps only itself off a machine. Why a job waits is logged at debug when it changes.

--- a/internal/clusterstate/schema.go
+++ b/internal/clusterstate/schema.go
@@ -34,6 +34,12 @@
 	return r.isEnabled(storage.SchemaHeartbeatProxies)
 }
 
+// ShardCapacityEnabled reports whether holders may tell each other what their shards
+// have machines for, and where they have room.
+func (r *Records) ShardCapacityEnabled() bool {
+	return r.isEnabled(storage.SchemaShardCapacity)
+}
+
 // isEnabled reports whether every controller has run a version that supports a
 // schema version.
 func (r *Records) isEnabled(version int) bool {
--- a/internal/coordination/golden_test.go
+++ b/internal/coordination/golden_test.go
@@ -62,6 +62,34 @@
 	}
 }
 
+// A status of the former version, which tells nothing of what shards have machines for,
+// reads as it did, and one without such values is written as that version wrote it.
+func TestStatusOfFormerVersion(t *testing.T) {
+	raw, err := os.ReadFile("testdata/status.former.golden")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(raw)) {
+		name, want, _ := strings.Cut(strings.TrimSpace(line), "\t")
+		bytes, err := hex.DecodeString(want)
+		if err != nil || !strings.HasPrefix(name, "status ") {
+			continue
+		}
+		var status Status
+		if err := cbor.Unmarshal(bytes, &status); err != nil {
+			t.Fatal(err)
+		}
+		for _, shard := range status.Shards {
+			if shard.Startable != nil || shard.Room != nil || shard.quotaClaim("red").Startable != nil {
+				t.Errorf("%s: reads %+v", name, shard)
+			}
+		}
+		if got, _ := cbor.Marshal(status); hex.EncodeToString(got) != want {
+			t.Errorf("%s is written in another way", name)
+		}
+	}
+}
+
 // unset names the exported fields that are zero, also in the first element of each list
 // and map.
 func unset(v reflect.Value, path string) (fields []string) {
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -12,7 +12,7 @@
 //
 // It enters the shard with addJob and leaves it with endJob, once its record is
 // gone or shows another shard. In between its tasks may be placed while the job
-// is startable: none of four conditions keeps them back. These are independent
+// is startable: none of five conditions keeps them back. These are independent
 // flags rather than one state, since each is set and cleared by an event of its
 // own, and several may hold at once:
 //
@@ -22,6 +22,8 @@
 //	             resolveDependencies
 //	migrating    set by migrateJobs, cleared when the write is refused for
 //	             certain or, by addJob, once the record has changed
+//	leaving      set by updateLeaving, cleared by it when the job is to stay: its
+//	             attempts end, then it migrates
 //	ended        set by endJob, for good: what still runs is being stopped
 //
 // Besides, the planner leaves out a job that fails everywhere until retryAfter,
@@ -78,6 +80,11 @@
 	backoff    time.Duration   // between the last two attempts of a job that fails everywhere
 	retryAfter time.Time
 
+	// Waiting beside room in another shard, see migration_to_room.go.
+	unplacedSince time.Time  // since when every plan has left a task of it without a machine; zero: the last did not
+	waitReason    waitReason // why, as of the last plan
+	leavingUntil  time.Time  // until when it is held back to leave the shard; zero: it is not
+
 	// How long its tasks take, to find slow machines.
 	measuredTasks   int     // tasks that completed under this holder
 	measuredSeconds float64 // how long those ran in total
@@ -94,7 +101,7 @@
 // isStartable reports whether nothing but a lack of capacity or quota keeps the
 // job's tasks from being placed.
 func (j *job) isStartable() bool {
-	return !j.unconfirmed && !j.blocked && !j.migrating && !j.ended
+	return !j.unconfirmed && !j.blocked && !j.migrating && !j.ended && !j.isLeaving()
 }
 
 // pendingTasks counts tasks that are neither completed nor placed.
--- a/internal/coordination/job_migration.go
+++ b/internal/coordination/job_migration.go
@@ -58,9 +58,11 @@
 				migrations = append(migrations, n.newMigration(s, j, j.migrationTarget))
 			}
 		}
+		n.updateLeaving(s, now)
 		if len(migrations) == 0 && n.store.DeferrableWrites() > 0 {
 			if j, target := n.selectMigration(s, now); j != nil {
 				slog.Info("job migrating", "job", j.id, "from_shard", i, "to_shard", target)
+				s.migratedAt = now
 				migrations = append(migrations, n.newMigration(s, j, target))
 			}
 		}
@@ -103,10 +105,18 @@
 	}
 }
 
-// selectMigration selects a job of a shard that lacks machines, the one that
-// would be placed last first, and the shard that will run it sooner; no job if
-// there is none.
+// selectMigration selects a job of a shard and the shard that will run it
+// sooner; no job if there is none.
 func (n *Node) selectMigration(s *shard, now time.Time) (*job, int) {
+	if j, target := n.selectMigrationToRoom(s, now); j != nil {
+		return j, target
+	}
+	return n.selectMigrationByLoad(s, now)
+}
+
+// selectMigrationByLoad selects a job of a shard that lacks machines, the one
+// that would be placed last first, and the shard that will run it sooner.
+func (n *Node) selectMigrationByLoad(s *shard, now time.Time) (*job, int) {
 	summary := n.summarizeDemand(now)
 	for _, j := range slices.Backward(s.queue) {
 		if !n.canMigrate(s, j, now) {
--- a/internal/coordination/late_start_test.go
+++ b/internal/coordination/late_start_test.go
@@ -41,6 +41,33 @@
 	}
 }
 
+// A stopped task keeps only itself away: another pending task of its job is placed there
+// in its place.
+func TestStoppedTaskKeepsNoOtherTaskAway(t *testing.T) {
+	now := time.Now()
+	s, m, j := oneTask(now)
+	j.spec.Tasks = 2
+	s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Address: "a:1", Session: 1, Sequence: 1, FencingToken: 2}, now)
+	attempt := s.place(j, j.takePendingTask(), m)
+	message := directTarget{s, m}.buildMessage(now)
+	s.finishDirect(&message, DirectAnswer{}, now)
+	exited := protocol.TaskStatus{Task: "wk-1/0", Attempt: attempt.number, State: protocol.Exited, Cause: protocol.CauseStopped}
+	s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Session: 1, Sequence: 2, FencingToken: 2, Tasks: []protocol.TaskStatus{exited}}, now)
+	if j.pendingTasks() != 2 || !j.canPlaceOn(m) {
+		t.Fatalf("%d pending, can be placed %v", j.pendingTasks(), j.canPlaceOn(m))
+	}
+	if task := j.takeTaskFor(m); task != 1 {
+		t.Fatalf("task %d is placed", task)
+	}
+	j.attempts[1], j.unfinishedAttempts = &taskAttempt{}, 1
+	if j.canPlaceOn(m) || j.takeTaskFor(m) >= 0 {
+		t.Error("the stopped task is placed where a copy of its start may arrive")
+	}
+	if task := j.takePendingTask(); task != 0 {
+		t.Errorf("task %d is pending elsewhere, not the stopped one", task)
+	}
+}
+
 // The task itself stays away while it may have another attempt: a service's task, and one
 // that was stopped.
 func TestLostAnswerKeepsTheTaskItselfAway(t *testing.T) {
--- /dev/null
+++ b/internal/coordination/migration_to_room.go
@@ -0,0 +1,178 @@
+package coordination
+
+import (
+	"iter"
+	"log/slog"
+	"time"
+
+	"reedtrack/internal/config"
+	"reedtrack/internal/placement"
+	"reedtrack/internal/storage"
+)
+
+// A job waits in a shard that has no room for it, while another shard has: on
+// machines that its own tasks don't take, or can't, for want of a share. A
+// machine with tasks on it can't go to the job, so the job goes to the machine,
+// by the same write as every migration (job_migration.go). This file only
+// selects which job, and where to.
+//
+// A job with tasks that run can't migrate. It leaves in two steps: none of its
+// tasks is placed in its shard any more, and once the last attempt has ended it
+// migrates. It does so only if that will be soon, and stays if it is not.
+
+const (
+	// roomMigrationInterval is the least time between two jobs that leave a shard
+	// for room in another: until the first shows in the other's status.
+	roomMigrationInterval = 4 * statusInterval
+	// roomMigrationHeartbeats is for how many heartbeat intervals a job has to have
+	// waited: what a task that ends leaves shows within one.
+	roomMigrationHeartbeats = 2
+	// leavingHeartbeats is the same for a job with tasks that run, which is held
+	// back before it migrates.
+	leavingHeartbeats = 4
+	// maxLeavingHeartbeats is for how many heartbeat intervals a job is held back at
+	// most.
+	maxLeavingHeartbeats = 18
+)
+
+// selectMigrationToRoom selects a job for which its shard has had no room for a
+// while though another shard has some now, the one that would be placed first
+// first.
+//
+// Room shows in a status only after the job that took it has arrived and was
+// placed, so a while passes between two jobs.
+func (n *Node) selectMigrationToRoom(s *shard, now time.Time) (*job, int) {
+	if now.Sub(s.migratedAt) < roomMigrationInterval {
+		return nil, 0
+	}
+	usage := n.teamUsage()
+	for _, j := range s.jobs {
+		if j.isLeaving() && n.canMigrate(s, j, now) {
+			if target, ok := n.selectRoom(s, j, usage, now); ok {
+				return j, target
+			}
+		}
+	}
+	for _, j := range s.queue {
+		if j.hasWaitedFor(n.heartbeats(roomMigrationHeartbeats), now) && n.canMigrate(s, j, now) {
+			if target, ok := n.selectRoom(s, j, usage, now); ok {
+				return j, target
+			}
+		}
+	}
+	return nil, 0
+}
+
+// heartbeats returns how long so many heartbeat intervals of the workers are.
+func (n *Node) heartbeats(count int) time.Duration {
+	return time.Duration(count) * config.Seconds(n.settings.Deployment.Workers.ReportS)
+}
+
+// hasWaitedFor reports whether tasks of the job have been without a machine for
+// so long.
+func (j *job) hasWaitedFor(duration time.Duration, now time.Time) bool {
+	return !j.unplacedSince.IsZero() && now.Sub(j.unplacedSince) >= duration
+}
+
+// updateLeaving selects the jobs that are held back to leave the shard for room
+// in another, and lets those stay that have no reason to go any more.
+func (n *Node) updateLeaving(s *shard, now time.Time) {
+	var usage map[string]storage.Resources
+	maxHold := n.heartbeats(maxLeavingHeartbeats)
+	for _, j := range s.jobs {
+		if !j.isLeaving() && !j.mayLeave(n.heartbeats(leavingHeartbeats), maxHold, now) {
+			continue
+		}
+		if usage == nil {
+			usage = n.teamUsage()
+		}
+		_, hasRoom := n.selectRoom(s, j, usage, now)
+		switch {
+		case !j.isLeaving() && hasRoom:
+			j.leavingUntil = now.Add(maxHold)
+			slog.Info("job leaving for room in another shard", "job", j.id, "from_shard", s.index, "running", len(j.attempts))
+		case j.isLeaving() && (!hasRoom || now.After(j.leavingUntil)):
+			j.leavingUntil, j.unplacedSince = time.Time{}, now
+		}
+	}
+}
+
+// isLeaving reports whether the job is held back until its attempts have ended.
+func (j *job) isLeaving() bool { return !j.leavingUntil.IsZero() }
+
+// mayLeave reports whether a job with tasks that run has waited for long enough
+// to be held back, and its attempts are to end within the time for which it
+// would be.
+func (j *job) mayLeave(patience, maxHold time.Duration, now time.Time) bool {
+	if len(j.attempts) == 0 || j.pendingTasks() == 0 || !j.isStartable() || j.spec.IsGang() || j.spec.IsService() {
+		return false
+	}
+	if !j.hasWaitedFor(patience, now) {
+		return false
+	}
+	for _, attempt := range j.attempts {
+		left := j.spec.EstimatedSeconds - attempt.secondsRunning(now)
+		if config.Seconds(left) > maxHold {
+			return false
+		}
+	}
+	return true
+}
+
+// selectRoom selects the shard with the most room for a job; none if its own
+// shard has room, where it only lacks a share, or if its team is at its limit,
+// when no shard would start it.
+func (n *Node) selectRoom(s *shard, j *job, usage map[string]storage.Resources, now time.Time) (target int, ok bool) {
+	if _, hasRoom := j.roomIn(s.room); hasRoom || !n.isWithinLimit(j, usage) {
+		return 0, false
+	}
+	if j.spec.IsGang() && j.spec.Tasks > 1 {
+		return 0, false // whether all its tasks find room is not known
+	}
+	most := 0.0
+	for shard, rooms := range n.otherRooms(s.index, now) {
+		if room, fits := j.roomIn(rooms); fits && room > most && !n.isHolderOverloaded(shard) {
+			target, most, ok = shard, room, true
+		}
+	}
+	return target, ok
+}
+
+// isWithinLimit reports whether a team that uses so much may run one more task
+// of a job.
+func (n *Node) isWithinLimit(j *job, usage map[string]storage.Resources) bool {
+	more := map[string]storage.Resources{}
+	j.addNeed(more, 1)
+	total, limit := addAmounts(usage[j.spec.Team], more[j.spec.Team]), n.teams[j.spec.Team].limit
+	withinCores := limit.Cores <= 0 || total.Cores <= limit.Cores+amountTolerance
+	withinGPUs := limit.GPUs <= 0 || total.GPUs <= limit.GPUs+amountTolerance
+	return withinCores && withinGPUs
+}
+
+// roomIn returns the free cores of the machine among these that has the most and
+// room for one task of the job; false if none has room.
+func (j *job) roomIn(rooms []machineRoom) (most float64, ok bool) {
+	for _, room := range rooms {
+		if room.Free.Fits(j.need) && j.allows(room.Kind.MachineType, room.Kind.Zone, room.Kind.Spot) {
+			most, ok = max(most, room.Free[placement.Cores]), true
+		}
+	}
+	return most, ok
+}
+
+// otherRooms iterates over the room in the shards other than the given one, as
+// far as it is known of late.
+func (n *Node) otherRooms(except int, now time.Time) iter.Seq2[int, []machineRoom] {
+	return func(yield func(int, []machineRoom) bool) {
+		for i := range n.operator.Shards {
+			if s := n.shards[i]; s != nil && i != except && !yield(i, s.room) {
+				return
+			}
+		}
+		for status := range n.recentRemoteShards(now) {
+			if !yield(status.Index, status.Room) {
+				return
+			}
+		}
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -73,10 +73,11 @@
 	heartbeatProxy   heartbeatProxy
 
 	// The other controllers, and leadership.
-	ordinal         int // position of this controller among all, by name
-	peerStatus      map[string]*Status
-	publishedStatus *Status     // the status last sent to the others
-	leadership      *leadership // nil: another controller leads
+	ordinal            int // position of this controller among all, by name
+	peerStatus         map[string]*Status
+	publishedStatus    *Status                   // the status last sent to the others
+	loggedStatusErrors map[statusValueError]bool // values in others' statuses that were left out
+	leadership         *leadership               // nil: another controller leads
 }
 
 // Peer calls another controller.
@@ -135,8 +136,9 @@
 		removedMachines:  map[string]bool{},
 		cordonedMachines: map[string]bool{},
 
-		ordinal:    ordinalOf(settings),
-		peerStatus: map[string]*Status{},
+		ordinal:            ordinalOf(settings),
+		peerStatus:         map[string]*Status{},
+		loggedStatusErrors: map[statusValueError]bool{},
 	}
 	n.session = newControllerSession(n.timing)
 	n.storedEnd = n.ends.get
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -39,7 +39,7 @@
 // canPlaceOn reports whether a machine may get one more task of a job, free
 // capacity apart.
 func (j *job) canPlaceOn(m *machine) bool {
-	return m.acceptsTasks() && j.canRunOn(m) && (m.exchange.CountUnanswered() == 0 || !m.mayReceiveLateStart(j))
+	return m.acceptsTasks() && j.canRunOn(m) && j.hasTaskFor(m)
 }
 
 // canRunOn reports whether one more task of a job may run on a machine beside
@@ -48,18 +48,36 @@
 	return j.allowsMachine(m) && !j.failedOn[m.lease.Machine] && j.zoneAllows(m.lease.Zone)
 }
 
-// mayReceiveLateStart reports whether a copy of a start order of one of a job's
-// pending tasks may still arrive at a machine. Another attempt of that task there
-// would displace the ended one that makes the copy harmless. Completed tasks have
-// no further attempt: they keep no other task of the job away, or a single lost
-// answer would do so for as long as the machine is leased.
-func (m *machine) mayReceiveLateStart(j *job) bool {
+// hasTaskFor reports whether the job has a pending task that may be started on a
+// machine. A task may not while a copy of a start order of an ended attempt may
+// still arrive there: another attempt would displace the ended one that makes
+// the copy harmless. This concerns that very task. Once it kept all tasks of the
+// job away, and a single lost answer did so for as long as the machine was
+// leased.
+func (j *job) hasTaskFor(m *machine) bool {
+	if m.exchange.CountUnanswered() == 0 {
+		return true
+	}
+	kept := 0
 	for key := range m.exchange.UnansweredTasks() {
-		if key.job == j.id && !j.done.Contains(key.task) {
-			return true
+		if key.job == j.id && j.isTaskPending(key.task) {
+			kept++
 		}
 	}
-	return false
+	return kept == 0 || kept < j.pendingTasks()
+}
+
+// takeTaskFor returns a task to place on a machine, or -1 if there is none that
+// may be started there.
+func (j *job) takeTaskFor(m *machine) int {
+	var kept []int
+	task := j.takePendingTask()
+	for task >= 0 && m.exchange.StartMayArrive(taskKey{j.id, task}) {
+		kept = append(kept, task)
+		task = j.takePendingTask()
+	}
+	j.retry = append(j.retry, kept...)
+	return task
 }
 
 // remainingQuota returns how many more tasks of a job its team's share allows,
@@ -98,14 +116,14 @@
 		placed := 0
 		if j.spec.IsGang() {
 			if allowed < pending || len(j.attempts) > 0 {
-				j.noteUnplaced(p.now)
+				s.noteUnplaced(j, allowed < pending, p.now)
 				continue // a gang starts as a whole, once its last attempt has ended everywhere
 			}
 			placed = p.placeGang(j, allowed, candidates)
 		} else {
 			placed = len(p.placeTasks(j, allowed, candidates))
 		}
-		j.noteUnplaced(p.now)
+		s.noteUnplaced(j, placed >= allowed, p.now)
 		// What is unplaced of earlier jobs has a claim on the quota, too.
 		claim := claimed[j.spec.Team]
 		spoken := storage.Resources{Cores: unreported.Cores + claim.Cores, GPUs: unreported.GPUs + claim.GPUs}
@@ -119,17 +137,6 @@
 	return unplaced
 }
 
-// noteUnplaced notes since when tasks of the job have been left without a
-// machine.
-func (j *job) noteUnplaced(now time.Time) {
-	switch {
-	case j.pendingTasks() == 0:
-		j.unplacedSince = time.Time{}
-	case j.unplacedSince.IsZero():
-		j.unplacedSince = now
-	}
-}
-
 // resetDesired begins to sum what the teams desire with what they use.
 func (s *shard) resetDesired() {
 	clear(s.desired)
@@ -190,7 +197,7 @@
 			unreported, known = s.unreportedCapacity(), true
 		}
 		for n := s.remainingQuota(j, teams, unreported); n > 0 && free.Fits(j.need) && j.zoneAllows(m.lease.Zone); n-- {
-			task := j.takePendingTask()
+			task := j.takeTaskFor(m)
 			if task < 0 {
 				break
 			}
@@ -244,9 +251,10 @@
 			selector.RemoveBest()
 			continue
 		}
-		task := j.takePendingTask()
+		task := j.takeTaskFor(machines[i])
 		if task < 0 {
-			break
+			selector.RemoveBest()
+			continue
 		}
 		selector.PlaceOnBest()
 		placed = append(placed, p.shard.place(j, task, machines[i]))
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -38,11 +38,13 @@
 //	  (preemption.go)
 //	preempt (full)            attempts, priorities,          stops; shorter unplaced     U·P
 //	  (preemption.go)         guarantees
-//	planScaleOut              unplaced, booting machines     scaleOut, suitableKinds     U·M
-//	  (scale_out.go)
+//	planScaleOut              unplaced, booting machines     scaleOut, suitableKinds,    U·M
+//	  (scale_out.go)                                         stalls, startable
 //	consolidate (full)        attempts, prices               draining, stops             P·M
 //	  (drain.go)
 //	markMachinesInUse         attempts                       idleSince                   M
+//	updateRoom                free capacity                  room                        M
+//	  (shard_room.go)
 //
 // The order matters:
 //
@@ -121,6 +123,7 @@
 		p.consolidate(unplaced)
 	}
 	p.markMachinesInUse()
+	p.updateRoom()
 }
 
 // markMachinesInUse notes which machines are not idle.
--- a/internal/coordination/quota_shares.go
+++ b/internal/coordination/quota_shares.go
@@ -30,12 +30,31 @@
 
 // quotaClaim returns what a shard uses and asks for of a team's quota.
 func (s *shard) quotaClaim(team string) quota.Demand {
-	return quota.Demand{Used: s.used[team], Requested: s.desired[team], TaskSize: s.smallestTask[team]}
+	return quota.Demand{
+		Used:      s.used[team],
+		Requested: s.desired[team],
+		TaskSize:  s.smallestTask[team],
+		Startable: amountOf(s.startable, team),
+	}
 }
 
 // quotaClaim returns the same for a shard that another controller holds.
 func (status *ShardStatus) quotaClaim(team string) quota.Demand {
-	return quota.Demand{Used: status.Used[team], Requested: status.Desired[team], TaskSize: status.SmallestTask[team]}
+	return quota.Demand{
+		Used:      status.Used[team],
+		Requested: status.Desired[team],
+		TaskSize:  status.SmallestTask[team],
+		Startable: amountOf(status.Startable, team),
+	}
+}
+
+// amountOf returns a team's amount; nil if there is none.
+func amountOf(byTeam map[string]storage.Resources, team string) *storage.Resources {
+	amount, ok := byTeam[team]
+	if !ok {
+		return nil
+	}
+	return &amount
 }
 
 // divideQuota divides a team's quota among the shards by their claims.
@@ -83,6 +102,22 @@
 	}
 }
 
+// recentRemoteShards iterates over those of them whose status is recent.
+func (n *Node) recentRemoteShards(now time.Time) iter.Seq[*ShardStatus] {
+	return func(yield func(*ShardStatus) bool) {
+		for shardStatus := range n.remoteShards() {
+			holder := n.records.Shards[shardStatus.Index].Value.Holder.Name
+			status := n.peerStatus[holder]
+			if status == nil || now.Sub(status.receivedAt) >= statusValidity {
+				continue
+			}
+			if !yield(shardStatus) {
+				return
+			}
+		}
+	}
+}
+
 // lowerShares returns a shard's shares without what it returns to the leader,
 // and whether that is worth a write.
 func (n *Node) lowerShares(s *shard, shares map[string]storage.Resources, now time.Time) (next map[string]storage.Resources, lowered bool) {
--- a/internal/coordination/scale_out.go
+++ b/internal/coordination/scale_out.go
@@ -9,6 +9,7 @@
 	"reedtrack/internal/failuredetector"
 	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
 )
 
 // scaleOutPlanner computes which machines a shard requests.
@@ -18,6 +19,8 @@
 	bins          []scaleOutBin
 	maxNew        int           // how many more machines may be requested
 	suitableKinds []machineKind // kinds on which some of the tasks may run
+	// What of the tasks no machine of the shard will take, booting ones included.
+	withoutMachine map[string]storage.Resources // by team
 }
 
 // scaleOutBin is a machine that tasks without a place are packed onto: one that
@@ -36,13 +39,17 @@
 // Tasks on reclaimed machines will need another machine; only one that is there
 // already, or boots, spares requesting one now.
 func (s *shard) planScaleOut(unplaced, reclaimed []unplacedTasks, input *planInput, now time.Time) {
-	planner := &scaleOutPlanner{shard: s, input: input}
+	planner := &scaleOutPlanner{shard: s, input: input, withoutMachine: map[string]storage.Resources{}}
 	planner.addMachines(now)
 	bootingCount := planner.addBooting()
 	planner.maxNew = s.maxNewMachines(bootingCount, input)
-	for _, tasks := range slices.Concat(unplaced, reclaimed) {
+	for _, tasks := range unplaced {
+		tasks.job.addNeed(planner.withoutMachine, tasks.count-planner.pack(tasks))
+	}
+	for _, tasks := range reclaimed {
 		planner.pack(tasks)
 	}
+	s.updateStalls(planner.withoutMachine, input.heartbeatInterval, now)
 	s.suitableKinds = planner.suitableKinds
 	s.scaleOut = planner.requests()
 }
@@ -98,8 +105,9 @@
 }
 
 // pack packs tasks of one job onto the bins, and adds a new one whenever none
-// has room, for as long as one may be requested.
-func (p *scaleOutPlanner) pack(tasks unplacedTasks) {
+// has room, for as long as one may be requested. It returns for how many tasks
+// there is a machine already, be it one that boots.
+func (p *scaleOutPlanner) pack(tasks unplacedTasks) (onKnownMachines int) {
 	j := tasks.job
 	kinds := j.suitableKinds(p.input)
 	p.addSuitableKinds(kinds)
@@ -114,14 +122,18 @@
 		i := selector.Best()
 		if i < 0 {
 			if !canRequest || p.maxNew <= 0 {
-				return
+				return onKnownMachines
 			}
 			i = p.addNew(newKind)
 			selector.Add(i, p.bins[i].free, p.bins[i].size, 0)
 		}
 		selector.PlaceOnBest()
 		p.bins[i].free = p.bins[i].free.Sub(j.need)
+		if !p.bins[i].isNew {
+			onKnownMachines++
+		}
 	}
+	return onKnownMachines
 }
 
 // addSuitableKinds adds kinds that are not listed yet.
@@ -160,13 +172,16 @@
 // sortRequests sorts requests by kind, so that they don't depend on the
 // iteration order of a map.
 func sortRequests(requests []machineRequest) {
-	slices.SortFunc(requests, func(a, b machineRequest) int {
-		return cmp.Or(
-			cmp.Compare(a.Kind.MachineType, b.Kind.MachineType),
-			cmp.Compare(a.Kind.Zone, b.Kind.Zone),
-			compareBools(a.Kind.Spot, b.Kind.Spot),
-		)
-	})
+	slices.SortFunc(requests, func(a, b machineRequest) int { return compareKinds(a.Kind, b.Kind) })
+}
+
+// compareKinds orders kinds by type, zone and price class.
+func compareKinds(a, b machineKind) int {
+	return cmp.Or(
+		cmp.Compare(a.MachineType, b.MachineType),
+		cmp.Compare(a.Zone, b.Zone),
+		compareBools(a.Spot, b.Spot),
+	)
 }
 
 // compareBools orders false before true.
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -63,6 +63,12 @@
 	smallestTask  map[string]storage.Resources // the least that a pending task needs, by team
 	suitableKinds []machineKind
 
+	// What the other controllers are told of this shard's machines.
+	stalls     map[string]*shareStall       // shares that no machine can use, by team
+	startable  map[string]storage.Resources // what of desired there are machines for, of teams whose share is stalled
+	room       []machineRoom                // free capacity that no task of the shard takes
+	migratedAt time.Time                    // when a job was last moved to room in another shard
+
 	// Writes of the grant, see writeGrants.
 	grantWritePending bool      // a write of the grant has not been answered yet
 	grantRevision     uint64    // revision of the last grant write that succeeded
@@ -94,6 +100,8 @@
 		shareCaps:    map[string]storage.Resources{},
 		desired:      map[string]storage.Resources{},
 		smallestTask: map[string]storage.Resources{},
+		stalls:       map[string]*shareStall{},
+		startable:    map[string]storage.Resources{},
 		boots:        map[machineKind][]bootBatch{},
 	}
 }
--- a/internal/coordination/status_exchange.go
+++ b/internal/coordination/status_exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
 	"time"
 
 	"reedtrack/internal/storage"
@@ -36,6 +37,11 @@
 	// controller runs a version that knows it.
 	SmallestTask map[string]storage.Resources `cbor:"Units,omitempty"`
 	Running      map[string]int               `cbor:"Running"`
+	// Startable is the part of Desired that the shard has machines for, by team,
+	// where that is less; Room is free capacity that none of the shard's own tasks
+	// takes. Both are sent once every controller runs a version that knows them.
+	Startable map[string]storage.Resources `cbor:"Startable,omitempty"`
+	Room      []machineRoom                `cbor:"Room,omitempty"`
 }
 
 // StatusReply answers a Status; only the leader's says more than that it is up.
@@ -136,6 +142,10 @@
 	if n.records.HeartbeatProxiesEnabled() {
 		status.SmallestTask = maps.Clone(s.smallestTask)
 	}
+	if n.records.ShardCapacityEnabled() {
+		status.Startable = maps.Clone(s.startable)
+		status.Room = slices.Clone(s.room)
+	}
 	for id, j := range s.jobs {
 		if running := len(j.attempts); running > 0 {
 			status.Running[id] = running
@@ -156,6 +166,7 @@
 		// minutes after its successor's.
 		return reply
 	}
+	n.dropInvalidValues(&status)
 	n.peerStatus[status.From] = &status
 	if n.leadership != nil && reply.HoldsLease {
 		n.leadership.receiveStatus(n, &status, now)
--- /dev/null
+++ b/internal/coordination/wait_reason.go
@@ -0,0 +1,40 @@
+package coordination
+
+import (
+	"log/slog"
+	"time"
+)
+
+// waitReason says why tasks of a job that could start are without a machine.
+type waitReason string
+
+const (
+	waitsForNothing waitReason = ""        // all its tasks are placed
+	waitsForShare   waitReason = "share"   // the shard's share of the team's quota is used up
+	waitsForMachine waitReason = "machine" // no machine of the shard has room
+)
+
+// noteUnplaced notes since when tasks of a job have been without a machine, and
+// why, as a plan has left it. A change of the reason is logged: what an operator
+// needs to know of a job that waits.
+func (s *shard) noteUnplaced(j *job, shareUsedUp bool, now time.Time) {
+	reason := waitsForMachine
+	switch {
+	case j.pendingTasks() == 0:
+		reason = waitsForNothing
+	case shareUsedUp:
+		reason = waitsForShare
+	}
+	switch {
+	case reason == waitsForNothing:
+		j.unplacedSince = time.Time{}
+	case j.unplacedSince.IsZero():
+		j.unplacedSince = now
+	}
+	if reason == j.waitReason {
+		return
+	}
+	j.waitReason = reason
+	slog.Debug("job waits", "job", j.id, "shard", s.index, "reason", reason, "pending", j.pendingTasks(),
+		"team", j.spec.Team, "share", s.shares[j.spec.Team], "used", s.used[j.spec.Team], "booting", s.bootingCount())
+}
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -98,3 +98,34 @@
 	}
 	return kept
 }
+
+// withMachines returns a demand without what it lacks machines for.
+func withMachines(d Demand) Demand {
+	if d.Startable != nil {
+		d.Requested = storage.Resources{
+			Cores: math.Min(d.Requested.Cores, math.Max(d.Startable.Cores, d.Used.Cores)),
+			GPUs:  math.Min(d.Requested.GPUs, math.Max(d.Startable.GPUs, d.Used.GPUs)),
+		}
+	}
+	return d
+}
+
+// idleBesideWaiting finds a share of cores beyond what its shard has machines for, large
+// enough for a task of another shard that has a machine for it and no share. Quotas of
+// cards are left out: a task that needs both may lack either.
+func idleBesideWaiting(quota storage.Resources, demands []Demand, shares []storage.Resources) (idle, waiting int, found bool) {
+	if quota.Cores == 0 || quota.GPUs > 0 {
+		return 0, 0, false
+	}
+	for i := range demands {
+		excess := shares[i].Cores - withMachines(demands[i]).Requested.Cores
+		for k, d := range demands {
+			startable := withMachines(d)
+			lacks := d.TaskSize.Cores > 0 && requestsTask(startable, startableTasks(startable, shares[k], quota))
+			if i != k && lacks && excess >= d.TaskSize.Cores-tolerance {
+				return i, k, true
+			}
+		}
+	}
+	return 0, 0, false
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -9,6 +9,22 @@
 	// TaskSize is the least that one of its waiting tasks takes; zero: not known, and
 	// its share is not rounded.
 	TaskSize storage.Resources
+	// Startable is the part of Requested that the shard has machines for, Used included;
+	// nil: all of it, as far as is known.
+	Startable *storage.Resources
+}
+
+// startable returns the part of the request that the shard has machines for.
+func (d *Demand) startable() vector {
+	requested := vectorOf(d.Requested)
+	if d.Startable == nil {
+		return requested
+	}
+	startable, used := vectorOf(*d.Startable), vectorOf(d.Used)
+	for r := range startable {
+		startable[r] = min(requested[r], max(startable[r], used[r]))
+	}
+	return startable
 }
 
 // Divide returns the share of a quota that each demand gets. In a resource whose quota
@@ -17,30 +33,53 @@
 // in whole tasks: a share that holds part of a task would serve nobody, and idle while
 // others wait. What rounding leaves goes to those that are furthest behind and can use
 // it.
+//
+// What demands have machines for is served first, and from the rest what they don't: a
+// share that no machine can use would idle beside room in another shard.
 func Divide(quota storage.Resources, demands []Demand) []storage.Resources {
 	limit := vectorOf(quota)
-	shares := make([]share, len(demands))
-	var requested vector
+	var limited [resources]bool
+	for r := range limited {
+		limited[r] = limit[r] > 0
+	}
+	startable := make([]share, len(demands))
 	for i, d := range demands {
-		s := &shares[i]
-		s.used, s.requested, s.taskSize = vectorOf(d.Used), vectorOf(d.Requested), vectorOf(d.TaskSize)
+		startable[i] = share{used: vectorOf(d.Used), requested: d.startable(), taskSize: vectorOf(d.TaskSize)}
+	}
+	divide(limited, limit, startable)
+	rest := make([]share, len(demands))
+	left := limit
+	for i, d := range demands {
+		rest[i] = share{requested: vectorOf(d.Requested), taskSize: vectorOf(d.TaskSize)}
+		for r := range left {
+			rest[i].requested[r] -= startable[i].requested[r]
+			left[r] = max(0, left[r]-startable[i].taken(r))
+		}
+	}
+	divide(limited, left, rest)
+	amounts := make([]storage.Resources, len(demands))
+	for i := range amounts {
+		amounts[i] = startable[i].assigned.plus(rest[i].assigned).amount()
+	}
+	return amounts
+}
+
+// divide assigns what there is of the limited resources to shares.
+func divide(limited [resources]bool, limit vector, shares []share) {
+	var requested vector
+	for i := range shares {
 		for r := range requested {
-			requested[r] += s.requested[r]
+			requested[r] += shares[i].requested[r]
 		}
 	}
 	var scarce [resources]bool
 	for r := range scarce {
-		scarce[r] = limit[r] > 0 && requested[r] > limit[r]+epsilon
+		scarce[r] = limited[r] && requested[r] > limit[r]+epsilon
 	}
 	for i := range shares {
 		shares[i].assignProportional(scarce, limit, requested)
 	}
 	assignRemainder(shares, scarce, limit)
-	amounts := make([]storage.Resources, len(shares))
-	for i := range shares {
-		amounts[i] = shares[i].assigned.amount()
-	}
-	return amounts
 }
 
 // assignRemainder gives what rounding has left to shares that lack a task, one task at
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -92,3 +92,48 @@
 		}
 	})
 }
+
+// What a shard has no machines for is left to those that have: a share there would idle.
+// Once a shard of red kept 3 cores without a machine while another, with 13 of 16 cores
+// free on one, had used up its own 3.
+func TestDivideServesWhatHasMachinesFirst(t *testing.T) {
+	without := coresDemand(0, 12, 3)
+	without.Startable = &storage.Resources{}
+	shares := Divide(storage.Resources{Cores: 14}, []Demand{without, coresDemand(6, 24, 3)})
+	if shares[0].Cores != 0 || shares[1].Cores != 12 {
+		t.Errorf("%v: the second could start two more tasks", shares)
+	}
+	shares = Divide(storage.Resources{Cores: 14}, []Demand{without, coresDemand(3, 6, 3)})
+	if shares[0].Cores != 6 || shares[1].Cores != 6 {
+		t.Errorf("%v: what the second does not want is the first's", shares)
+	}
+}
+
+// With what shards have machines for: shares never sum above a quota, nobody gets more
+// than it requests, and no share holds a task that lacks a machine while one that has a
+// machine waits for a share which that task's would suffice for, by a plain count.
+func TestDivideLeavesNoShareIdle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		quota, demands := drawDemands(t)
+		for i := range demands {
+			if rapid.Bool().Draw(t, "lacks machines") {
+				startable := add(demands[i].Used, demands[i].TaskSize, float64(rapid.IntRange(0, 3).Draw(t, "startable tasks")))
+				demands[i].Startable = &startable
+			}
+		}
+		shares := Divide(quota, demands)
+		var total storage.Resources
+		for i, d := range demands {
+			total = add(total, shares[i], 1)
+			if shares[i].Cores > d.Requested.Cores+tolerance || shares[i].GPUs > d.Requested.GPUs+tolerance {
+				t.Fatalf("shard %d gets %v of %v", i, shares[i], d.Requested)
+			}
+		}
+		if quota.Cores > 0 && total.Cores > quota.Cores+tolerance || quota.GPUs > 0 && total.GPUs > quota.GPUs+tolerance {
+			t.Fatalf("%v of %v", total, quota)
+		}
+		if idle, waiting, found := idleBesideWaiting(quota, demands, shares); found {
+			t.Fatalf("%d has %v of %+v without machines, %d waits with %v of %+v", idle, shares[idle], demands[idle], waiting, shares[waiting], demands[waiting])
+		}
+	})
+}
--- a/internal/quota/vector.go
+++ b/internal/quota/vector.go
@@ -18,3 +18,11 @@
 func vectorOf(a storage.Resources) vector { return vector{cores: a.Cores, cards: a.GPUs} }
 
 func (v vector) amount() storage.Resources { return storage.Resources{Cores: v[cores], GPUs: v[cards]} }
+
+// plus returns v + other.
+func (v vector) plus(other vector) vector {
+	for r := range v {
+		v[r] += other[r]
+	}
+	return v
+}
--- a/internal/storage/schema.go
+++ b/internal/storage/schema.go
@@ -11,8 +11,11 @@
 	// SchemaHeartbeatProxies lets a controller answer heartbeats for a holder that
 	// it can't reach: every holder knows what a Delegation means.
 	SchemaHeartbeatProxies = 3
+	// SchemaShardCapacity lets holders tell each other what their shards have machines
+	// for, and where they have room: see coordination.ShardStatus.
+	SchemaShardCapacity = 4
 	// SchemaLatest is the latest version that this program knows.
-	SchemaLatest = SchemaHeartbeatProxies
+	SchemaLatest = SchemaShardCapacity
 )
 
 // SchemaVersion says which schema version is in use. It is raised once every controller
