Room in other shards is collected once every two seconds, not for each job

At 4,000 machines with thousands of jobs waiting the former check compared every job with every kind of machine of every shard four times a second. Now once in two seconds, and not at all while no other shard has room.

--- a/internal/coordination/job_migration.go
+++ b/internal/coordination/job_migration.go
@@ -58,11 +58,9 @@
 				migrations = append(migrations, n.newMigration(s, j, j.migrationTarget))
 			}
 		}
-		n.updateLeaving(s, now)
 		if len(migrations) == 0 && n.store.DeferrableWrites() > 0 {
 			if j, target := n.selectMigration(s, now); j != nil {
 				slog.Info("job migrating", "job", j.id, "from_shard", i, "to_shard", target)
-				s.migratedAt = now
 				migrations = append(migrations, n.newMigration(s, j, target))
 			}
 		}
--- a/internal/coordination/migration_to_room.go
+++ b/internal/coordination/migration_to_room.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"iter"
 	"log/slog"
 	"time"
 
@@ -21,9 +20,10 @@
 // migrates. It does so only if that will be soon, and stays if it is not.
 
 const (
-	// roomMigrationInterval is the least time between two jobs that leave a shard
-	// for room in another: until the first shows in the other's status.
-	roomMigrationInterval = 4 * statusInterval
+	// roomCheckInterval is how often jobs are looked at, and so the least time
+	// between two jobs that leave a shard for room in another: room shows in a
+	// status only after the job that took it has arrived and was placed.
+	roomCheckInterval = 4 * statusInterval
 	// roomMigrationHeartbeats is for how many heartbeat intervals a job has to have
 	// waited: what a task that ends leaves shows within one.
 	roomMigrationHeartbeats = 2
@@ -35,27 +35,44 @@
 	maxLeavingHeartbeats = 18
 )
 
+// roomElsewhere is the room that jobs of one shard may go to, as it is known at
+// one time.
+type roomElsewhere struct {
+	node  *Node
+	own   []machineRoom                // of the shard itself
+	rooms []shardRoom                  // of the other shards
+	usage map[string]storage.Resources // of all shards, by team
+}
+
+// shardRoom is the room of one shard.
+type shardRoom struct {
+	shard int
+	rooms []machineRoom
+}
+
 // selectMigrationToRoom selects a job for which its shard has had no room for a
 // while though another shard has some now, the one that would be placed first
 // first.
-//
-// Room shows in a status only after the job that took it has arrived and was
-// placed, so a while passes between two jobs.
 func (n *Node) selectMigrationToRoom(s *shard, now time.Time) (*job, int) {
-	if now.Sub(s.migratedAt) < roomMigrationInterval {
+	if now.Sub(s.roomCheckedAt) < roomCheckInterval {
+		return nil, 0
+	}
+	s.roomCheckedAt = now
+	room := n.roomElsewhere(s, now)
+	n.updateLeaving(s, room, now)
+	if len(room.rooms) == 0 {
 		return nil, 0
 	}
-	usage := n.teamUsage()
 	for _, j := range s.jobs {
 		if j.isLeaving() && n.canMigrate(s, j, now) {
-			if target, ok := n.selectRoom(s, j, usage, now); ok {
+			if target, ok := room.selectFor(j); ok {
 				return j, target
 			}
 		}
 	}
 	for _, j := range s.queue {
 		if j.hasWaitedFor(n.heartbeats(roomMigrationHeartbeats), now) && n.canMigrate(s, j, now) {
-			if target, ok := n.selectRoom(s, j, usage, now); ok {
+			if target, ok := room.selectFor(j); ok {
 				return j, target
 			}
 		}
@@ -63,6 +80,26 @@
 	return nil, 0
 }
 
+// roomElsewhere returns the room of the shards other than the given one, as far
+// as it is known of late and their holders have processor time to spare.
+func (n *Node) roomElsewhere(s *shard, now time.Time) *roomElsewhere {
+	room := &roomElsewhere{node: n, own: s.room, usage: n.teamUsage()}
+	add := func(index int, rooms []machineRoom) {
+		if index != s.index && len(rooms) > 0 && !n.isHolderOverloaded(index) {
+			room.rooms = append(room.rooms, shardRoom{index, rooms})
+		}
+	}
+	for i := range n.operator.Shards {
+		if other := n.shards[i]; other != nil {
+			add(i, other.room)
+		}
+	}
+	for status := range n.recentRemoteShards(now) {
+		add(status.Index, status.Room)
+	}
+	return room
+}
+
 // heartbeats returns how long so many heartbeat intervals of the workers are.
 func (n *Node) heartbeats(count int) time.Duration {
 	return time.Duration(count) * config.Seconds(n.settings.Deployment.Workers.ReportS)
@@ -76,17 +113,13 @@
 
 // updateLeaving selects the jobs that are held back to leave the shard for room
 // in another, and lets those stay that have no reason to go any more.
-func (n *Node) updateLeaving(s *shard, now time.Time) {
-	var usage map[string]storage.Resources
-	maxHold := n.heartbeats(maxLeavingHeartbeats)
+func (n *Node) updateLeaving(s *shard, room *roomElsewhere, now time.Time) {
+	patience, maxHold := n.heartbeats(leavingHeartbeats), n.heartbeats(maxLeavingHeartbeats)
 	for _, j := range s.jobs {
-		if !j.isLeaving() && !j.mayLeave(n.heartbeats(leavingHeartbeats), maxHold, now) {
+		if !j.isLeaving() && !j.mayLeave(patience, maxHold, now) {
 			continue
 		}
-		if usage == nil {
-			usage = n.teamUsage()
-		}
-		_, hasRoom := n.selectRoom(s, j, usage, now)
+		_, hasRoom := room.selectFor(j)
 		switch {
 		case !j.isLeaving() && hasRoom:
 			j.leavingUntil = now.Add(maxHold)
@@ -119,20 +152,20 @@
 	return true
 }
 
-// selectRoom selects the shard with the most room for a job; none if its own
+// selectFor selects the shard with the most room for a job; none if its own
 // shard has room, where it only lacks a share, or if its team is at its limit,
 // when no shard would start it.
-func (n *Node) selectRoom(s *shard, j *job, usage map[string]storage.Resources, now time.Time) (target int, ok bool) {
-	if _, hasRoom := j.roomIn(s.room); hasRoom || !n.isWithinLimit(j, usage) {
-		return 0, false
-	}
+func (r *roomElsewhere) selectFor(j *job) (target int, ok bool) {
 	if j.spec.IsGang() && j.spec.Tasks > 1 {
 		return 0, false // whether all its tasks find room is not known
 	}
+	if _, hasRoom := j.roomIn(r.own); hasRoom || !r.node.isWithinLimit(j, r.usage) {
+		return 0, false
+	}
 	most := 0.0
-	for shard, rooms := range n.otherRooms(s.index, now) {
-		if room, fits := j.roomIn(rooms); fits && room > most && !n.isHolderOverloaded(shard) {
-			target, most, ok = shard, room, true
+	for _, other := range r.rooms {
+		if room, fits := j.roomIn(other.rooms); fits && room > most {
+			target, most, ok = other.shard, room, true
 		}
 	}
 	return target, ok
@@ -159,20 +192,3 @@
 	}
 	return most, ok
 }
-
-// otherRooms iterates over the room in the shards other than the given one, as
-// far as it is known of late.
-func (n *Node) otherRooms(except int, now time.Time) iter.Seq2[int, []machineRoom] {
-	return func(yield func(int, []machineRoom) bool) {
-		for i := range n.operator.Shards {
-			if s := n.shards[i]; s != nil && i != except && !yield(i, s.room) {
-				return
-			}
-		}
-		for status := range n.recentRemoteShards(now) {
-			if !yield(status.Index, status.Room) {
-				return
-			}
-		}
-	}
-}
--- a/internal/coordination/migration_to_room_test.go
+++ b/internal/coordination/migration_to_room_test.go
@@ -82,7 +82,7 @@
 		{"a task of it runs", func(w *waitingNode) { w.job.attempts[0] = &taskAttempt{job: w.job, startedAt: w.now} }, false},
 		{"it is unconfirmed", func(w *waitingNode) { w.job.unconfirmed = true }, false},
 		{"it has just begun to wait", func(w *waitingNode) { w.job.unplacedSince = w.now.Add(-time.Second) }, false},
-		{"another has just gone", func(w *waitingNode) { w.shard.migratedAt = w.now.Add(-time.Second) }, false},
+		{"another has just gone", func(w *waitingNode) { w.shard.roomCheckedAt = w.now.Add(-time.Second) }, false},
 		{"a former version tells no room", func(w *waitingNode) { w.status.Shards[0].Room = nil }, false},
 		{"the status is old", func(w *waitingNode) { w.status.receivedAt = w.now.Add(-statusValidity) }, false},
 		{"the status is a former holder's", func(w *waitingNode) { w.status.Shards[0].FencingToken-- }, false},
@@ -117,13 +117,14 @@
 	w := newWaitingNode(spotRoom())
 	attempt := &taskAttempt{job: w.job, startedAt: w.now}
 	w.job.attempts[0], w.job.unfinishedAttempts = attempt, 1
-	w.updateLeaving(w.shard, w.now)
+	w.updateLeaving(w.shard, w.roomElsewhere(w.shard, w.now), w.now)
 	if !w.job.isLeaving() || w.job.isStartable() {
 		t.Fatal("more of its tasks are placed here")
 	}
 	if j, _ := w.selectMigrationToRoom(w.shard, w.now); j != nil {
 		t.Fatal("goes while a task runs")
 	}
+	w.shard.roomCheckedAt = time.Time{}
 	delete(w.job.attempts, 0)
 	w.job.unfinishedAttempts = 0
 	w.shard.queue = nil // nothing of it is placed, so it is not in the queue
@@ -152,7 +153,7 @@
 			w := newWaitingNode(spotRoom())
 			w.job.attempts[0], w.job.unfinishedAttempts = &taskAttempt{job: w.job, startedAt: w.now}, 1
 			c.adjust(w)
-			w.updateLeaving(w.shard, w.now)
+			w.updateLeaving(w.shard, w.roomElsewhere(w.shard, w.now), w.now)
 			if w.job.isLeaving() != c.leaves {
 				t.Fatalf("leaves %v", w.job.isLeaving())
 			}
@@ -160,7 +161,7 @@
 				return
 			}
 			w.status.receivedAt = w.now.Add(hold + time.Second)
-			w.updateLeaving(w.shard, w.now.Add(hold+time.Second))
+			w.updateLeaving(w.shard, w.roomElsewhere(w.shard, w.now.Add(hold+time.Second)), w.now.Add(hold+time.Second))
 			if w.job.isLeaving() {
 				t.Error("held back for longer than its tasks were to run")
 			}
@@ -172,9 +173,9 @@
 	t.Run("the room is gone", func(t *testing.T) {
 		w := newWaitingNode(spotRoom())
 		w.job.attempts[0], w.job.unfinishedAttempts = &taskAttempt{job: w.job, startedAt: w.now}, 1
-		w.updateLeaving(w.shard, w.now)
+		w.updateLeaving(w.shard, w.roomElsewhere(w.shard, w.now), w.now)
 		w.status.Shards[0].Room = nil
-		w.updateLeaving(w.shard, w.now)
+		w.updateLeaving(w.shard, w.roomElsewhere(w.shard, w.now), w.now)
 		if w.job.isLeaving() || !w.job.isStartable() {
 			t.Error("held back for nothing")
 		}
@@ -193,7 +194,7 @@
 		w.status.receivedAt = now
 		if j, _ := w.selectMigrationToRoom(w.shard, now); j != nil {
 			moves++
-			w.job.unplacedSince, w.job.receivedAt, w.shard.migratedAt = now, now, now // and back again
+			w.job.unplacedSince, w.job.receivedAt = now, now // and back again
 		}
 	}
 	if most := 60 / 6; moves > most {
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -64,10 +64,10 @@
 	suitableKinds []machineKind
 
 	// What the other controllers are told of this shard's machines.
-	stalls     map[string]*shareStall       // shares that no machine can use, by team
-	startable  map[string]storage.Resources // what of desired there are machines for, of teams whose share is stalled
-	room       []machineRoom                // free capacity that no task of the shard takes
-	migratedAt time.Time                    // when a job was last moved to room in another shard
+	stalls        map[string]*shareStall       // shares that no machine can use, by team
+	startable     map[string]storage.Resources // what of desired there are machines for, of teams whose share is stalled
+	room          []machineRoom                // free capacity that no task of the shard takes
+	roomCheckedAt time.Time                    // when it was last looked whether jobs should go to room in another shard
 
 	// Writes of the grant, see writeGrants.
 	grantWritePending bool      // a write of the grant has not been answered yet
