Call what was there: limits, heartbeat intervals, one way to lose an answer in tests

isWithinLimit repeated isWithin and filled a map for one amount; canMigrate repeated Node.heartbeats; what no machine takes was a field of the scale-out planner that only its caller used. In the tests of lost answers the same six lines stood three times.

--- a/internal/coordination/job_migration.go
+++ b/internal/coordination/job_migration.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"reedtrack/internal/config"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
 )
@@ -143,8 +142,8 @@
 	}
 	// The demand and capacity of shards are known from records and statuses
 	// of a while ago: a job that has just been received is not moved on.
-	minAge := 2 * config.Seconds(n.settings.Deployment.Workers.ReportS)
-	return now.Sub(j.receivedAt) >= minAge
+	const minHeartbeats = 2
+	return now.Sub(j.receivedAt) >= n.heartbeats(minHeartbeats)
 }
 
 // selectMigrationTarget selects the shard that will run a job sooner than its
--- a/internal/coordination/late_start_test.go
+++ b/internal/coordination/late_start_test.go
@@ -4,9 +4,7 @@
 	"testing"
 	"time"
 
-	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
-	"reedtrack/internal/storage"
 )
 
 // A task of a job is started directly and the answer is lost; the task runs to its end.
@@ -19,17 +17,9 @@
 // `host-000009 big used 8/16 schedulable true, may arrive [wk-000035/3 ...]`.
 func TestLostAnswerKeepsNoOtherTaskAway(t *testing.T) {
 	now := time.Now()
-	s := newShard(0, storage.ShardLease{FencingToken: 1}, 1, now)
-	s.setGrant(storage.Grant{Machines: []storage.MachineLease{{Machine: "a", FencingToken: 2}}}, size4, now)
-	m := s.machines["a"]
-	j := &job{id: "wk-1", spec: protocol.Job{ID: "wk-1", Team: "red", Type: "array", Tasks: 2}, revision: 9, need: placement.Resources{1, 0, 1}}
-	s.addJob(j)
-	s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Address: "a:1", Session: 1, Sequence: 1, FencingToken: 2}, now)
-	attempt := s.place(j, j.takePendingTask(), m)
-	message := directTarget{s, m}.buildMessage(now)
-	s.finishDirect(&message, DirectAnswer{}, now)
-	exited := protocol.TaskStatus{Task: "wk-1/0", Attempt: attempt.number, State: protocol.Exited, Cause: protocol.CauseDone}
-	s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Session: 1, Sequence: 2, FencingToken: 2, Tasks: []protocol.TaskStatus{exited}}, now)
+	s, m, j := oneTask(now)
+	j.spec.Tasks = 2
+	attempt := startUnanswered(s, m, j, protocol.CauseDone, now)
 	if len(s.buildOrders(m, now)) != 0 || !m.exchange.StartMayArrive(attempt.key) {
 		t.Fatal("the machine is told to forget the attempt, though a copy of its start may arrive")
 	}
@@ -47,12 +37,7 @@
 	now := time.Now()
 	s, m, j := oneTask(now)
 	j.spec.Tasks = 2
-	s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Address: "a:1", Session: 1, Sequence: 1, FencingToken: 2}, now)
-	attempt := s.place(j, j.takePendingTask(), m)
-	message := directTarget{s, m}.buildMessage(now)
-	s.finishDirect(&message, DirectAnswer{}, now)
-	exited := protocol.TaskStatus{Task: "wk-1/0", Attempt: attempt.number, State: protocol.Exited, Cause: protocol.CauseStopped}
-	s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Session: 1, Sequence: 2, FencingToken: 2, Tasks: []protocol.TaskStatus{exited}}, now)
+	startUnanswered(s, m, j, protocol.CauseStopped, now)
 	if j.pendingTasks() != 2 || !j.canPlaceOn(m) {
 		t.Fatalf("%d pending, can be placed %v", j.pendingTasks(), j.canPlaceOn(m))
 	}
@@ -75,14 +60,21 @@
 		now := time.Now()
 		s, m, j := oneTask(now)
 		j.spec.Type = kind
-		s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Address: "a:1", Session: 1, Sequence: 1, FencingToken: 2}, now)
-		attempt := s.place(j, j.takePendingTask(), m)
-		message := directTarget{s, m}.buildMessage(now)
-		s.finishDirect(&message, DirectAnswer{}, now)
-		exited := protocol.TaskStatus{Task: "wk-1/0", Attempt: attempt.number, State: protocol.Exited, Cause: cause}
-		s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Session: 1, Sequence: 2, FencingToken: 2, Tasks: []protocol.TaskStatus{exited}}, now)
+		startUnanswered(s, m, j, cause, now)
 		if j.pendingTasks() != 1 || j.canPlaceOn(m) {
 			t.Errorf("%s: %d pending, can be placed %v", kind, j.pendingTasks(), j.canPlaceOn(m))
 		}
 	}
 }
+
+// startUnanswered starts a job's first task directly, loses the answer, and has the next
+// heartbeat report the attempt, which it returns, as ended.
+func startUnanswered(s *shard, m *machine, j *job, cause string, now time.Time) *taskAttempt {
+	s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Address: "a:1", Session: 1, Sequence: 1, FencingToken: 2}, now)
+	attempt := s.place(j, j.takePendingTask(), m)
+	message := directTarget{s, m}.buildMessage(now)
+	s.finishDirect(&message, DirectAnswer{}, now)
+	exited := protocol.TaskStatus{Task: "wk-1/0", Attempt: attempt.number, State: protocol.Exited, Cause: cause}
+	s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Session: 1, Sequence: 2, FencingToken: 2, Tasks: []protocol.TaskStatus{exited}}, now)
+	return attempt
+}
--- a/internal/coordination/migration_to_room.go
+++ b/internal/coordination/migration_to_room.go
@@ -174,12 +174,9 @@
 // isWithinLimit reports whether a team that uses so much may run one more task
 // of a job.
 func (n *Node) isWithinLimit(j *job, usage map[string]storage.Resources) bool {
-	more := map[string]storage.Resources{}
-	j.addNeed(more, 1)
-	total, limit := addAmounts(usage[j.spec.Team], more[j.spec.Team]), n.teams[j.spec.Team].limit
-	withinCores := limit.Cores <= 0 || total.Cores <= limit.Cores+amountTolerance
-	withinGPUs := limit.GPUs <= 0 || total.GPUs <= limit.GPUs+amountTolerance
-	return withinCores && withinGPUs
+	more := storage.Resources{Cores: j.need[placement.Cores], GPUs: j.need[placement.Cards]}
+	total, limit := addAmounts(usage[j.spec.Team], more), n.teams[j.spec.Team].limit
+	return isWithin(total.Cores, limit.Cores) && isWithin(total.GPUs, limit.GPUs)
 }
 
 // roomIn returns the free cores of the machine among these that has the most and
--- a/internal/coordination/scale_out.go
+++ b/internal/coordination/scale_out.go
@@ -19,8 +19,6 @@
 	bins          []scaleOutBin
 	maxNew        int           // how many more machines may be requested
 	suitableKinds []machineKind // kinds on which some of the tasks may run
-	// What of the tasks no machine of the shard will take, booting ones included.
-	withoutMachine map[string]storage.Resources // by team
 }
 
 // scaleOutBin is a machine that tasks without a place are packed onto: one that
@@ -39,17 +37,18 @@
 // Tasks on reclaimed machines will need another machine; only one that is there
 // already, or boots, spares requesting one now.
 func (s *shard) planScaleOut(unplaced, reclaimed []unplacedTasks, input *planInput, now time.Time) {
-	planner := &scaleOutPlanner{shard: s, input: input, withoutMachine: map[string]storage.Resources{}}
+	planner := &scaleOutPlanner{shard: s, input: input}
 	planner.addMachines(now)
 	bootingCount := planner.addBooting()
 	planner.maxNew = s.maxNewMachines(bootingCount, input)
+	withoutMachine := map[string]storage.Resources{} // by team: what no machine will take, booting ones included
 	for _, tasks := range unplaced {
-		tasks.job.addNeed(planner.withoutMachine, tasks.count-planner.pack(tasks))
+		tasks.job.addNeed(withoutMachine, tasks.count-planner.pack(tasks))
 	}
 	for _, tasks := range reclaimed {
 		planner.pack(tasks)
 	}
-	s.updateStalls(planner.withoutMachine, input.heartbeatInterval, now)
+	s.updateStalls(withoutMachine, input.heartbeatInterval, now)
 	s.suitableKinds = planner.suitableKinds
 	s.scaleOut = planner.requests()
 }
