Test: what a worker's heartbeats met before its lease ended with a task on it

The row of two zones that can't reach each other said only how many tasks were dropped. On failure it now prints, for each, the worker's last heartbeats (sent to whom, delivered, cut off, held up, answer lost or dropped, status, token) and how each controller sees the machine: holder, delegation, acknowledgement, attempts and their starts. No check is changed.

--- a/internal/coordination/scenarios_test.go
+++ b/internal/coordination/scenarios_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -428,6 +429,7 @@
 				missing = m.missingEvents(w)
 				if m.check != nil {
 					if why := m.check(w); why != "" {
+						t.Log(strings.Join(w.leaseEnds, "\n"))
 						t.Error(why)
 					}
 				}
--- /dev/null
+++ b/internal/coordination/sim_trace_test.go
@@ -0,0 +1,103 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// heartbeatFate is what became of a worker's heartbeat.
+type heartbeatFate string
+
+const (
+	heartbeatDelivered     heartbeatFate = "delivered"
+	heartbeatCutOff        heartbeatFate = "cut off"
+	heartbeatHeldUp        heartbeatFate = "held up"
+	heartbeatRefused       heartbeatFate = "controller down"
+	heartbeatAnswerLost    heartbeatFate = "answer lost"
+	heartbeatAnswerDropped heartbeatFate = "answer dropped by the worker"
+)
+
+// tracedHeartbeat is a heartbeat of a worker and what it met.
+type tracedHeartbeat struct {
+	sentAt   time.Time
+	to       string
+	sequence uint64
+	fate     heartbeatFate
+	status   int
+	redirect string
+	token    uint64
+	tookS    float64
+}
+
+// maxTracedHeartbeats is how many heartbeats of a worker are kept.
+const maxTracedHeartbeats = 30
+
+// heartbeatTrace holds the newest heartbeats of a worker.
+type heartbeatTrace struct{ heartbeats []tracedHeartbeat }
+
+func (t *heartbeatTrace) add(h tracedHeartbeat) {
+	if t.heartbeats = append(t.heartbeats, h); len(t.heartbeats) > maxTracedHeartbeats {
+		t.heartbeats = slices.Delete(t.heartbeats, 0, 1)
+	}
+}
+
+// describe lists the heartbeats with their times since the faults began.
+func (t *heartbeatTrace) describe(w *world) string {
+	var text strings.Builder
+	for _, h := range t.heartbeats {
+		fmt.Fprintf(&text, "\n\t%.1f #%d to %s: %s", h.sentAt.Sub(w.startedAt).Seconds(), h.sequence, h.to, h.fate)
+		if h.status != 0 {
+			fmt.Fprintf(&text, ", %d %s token %d", h.status, h.redirect, h.token)
+		}
+		fmt.Fprintf(&text, " after %.1f s", h.tookS)
+	}
+	return text.String()
+}
+
+// recordLeaseEnd keeps what a worker's heartbeats met before its lease ended with a task
+// on it, and how the controllers see the machine; the world's lock is held.
+func (w *world) recordLeaseEnd(m *simWorker, t *simTask, now time.Time) {
+	text := fmt.Sprintf("%s in zone %s drops %s at %.1f, session %d, token %d, last answered heartbeat sent at %.1f, started there %v:%s",
+		m.id, m.rental.Zone, t.name, now.Sub(w.startedAt).Seconds(), m.session, m.token, m.lastAcknowledged.Sub(w.startedAt).Seconds(), t.active, m.trace.describe(w))
+	id := m.id
+	w.spawn(func() {
+		text += w.describeMachine(id)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.leaseEnds = append(w.leaseEnds, text)
+	})
+}
+
+// describeMachine tells how each controller sees a machine and its delegation.
+func (w *world) describeMachine(id string) string {
+	var text strings.Builder
+	for i := range w.nodes {
+		n := w.node(i)
+		if n == nil {
+			continue
+		}
+		n.mu.Lock()
+		index, granted := n.records.ShardOfMachine[id]
+		fmt.Fprintf(&text, "\n\t%s zone %s lease %v: shard %d granted %v to %s", n.settings.HostName, n.settings.Location, n.holdsLease(n.now()), index, granted, n.records.Shards[index].Value.Holder.Name)
+		if d := n.heartbeatProxy.delegations[index]; granted && d != nil {
+			fmt.Fprintf(&text, ", proxy active %v can answer %v", d.IsActive(), d.CanAnswer(id))
+		}
+		if s := n.shards[index]; granted && s != nil && s.machines[id] != nil {
+			m := s.machines[id]
+			fmt.Fprintf(&text, ", holder: delegated %v expired %v releasing %v removed %v unreported %v", n.records.DelegatedMachines[index][id], m.isExpired(), m.releasing, m.removed, m.mayRunUnreportedTasks())
+			for key, a := range m.attempts {
+				fmt.Fprintf(&text, "; %v %s start %+v sent %.1f", key, a.status, a.start, a.startSentAt.Sub(w.startedAt).Seconds())
+			}
+		}
+		for delegationID, record := range n.records.Delegations {
+			if slices.Contains(record.Value.Machines, id) {
+				ack := n.records.DelegationAcks[delegationID].Value
+				fmt.Fprintf(&text, "; record %v revision %d token %d, acknowledged %v of %d", delegationID, record.Revision, record.Value.FencingToken, slices.Contains(ack.Machines, id), ack.DelegationRevision)
+			}
+		}
+		n.mu.Unlock()
+	}
+	return text.String()
+}
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -29,6 +29,7 @@
 	changed          bool
 	controller       int
 	leaseEpoch       uint64 // changes with the session: late answers are dropped
+	trace            heartbeatTrace
 }
 
 type simTask struct {
@@ -172,6 +173,7 @@
 		for _, t := range m.tasks {
 			if t.active {
 				m.w.recordEventLocked("a worker's lease ends with a task on it")
+				m.w.recordLeaseEnd(m, t, now)
 			}
 			m.stopTask(t)
 		}
@@ -251,6 +253,15 @@
 	}
 	w.mu.Unlock()
 	status, orders, answerTo := 0, protocol.HeartbeatResponse{}, ""
+	trace := tracedHeartbeat{sentAt: sent, to: w.nodes[to].name, sequence: r.Sequence, fate: heartbeatDelivered}
+	switch {
+	case cut:
+		trace.fate = heartbeatCutOff
+	case held:
+		trace.fate = heartbeatHeldUp
+	case n == nil:
+		trace.fate = heartbeatRefused
+	}
 	var answered time.Time
 	holds := false    // who answers holds the machine's shard
 	if held && !cut { // delivered, but so late that nobody waits for the answer
@@ -269,10 +280,12 @@
 		time.Sleep(time.Duration(1+w.intn(30))*time.Millisecond + w.heartbeatLatency())
 		if w.chance(0.02) { // the answer is lost
 			time.Sleep(4 * time.Second)
+			trace.fate = heartbeatAnswerLost
 			status = 0
 		}
 	}
 	w.mu.Lock()
+	defer func() { m.trace.add(trace) }() // under the world's lock
 	if stands := time.Until(w.nodes[to].pausedUntil); stands > 0 && status != 0 {
 		w.mu.Unlock() // the answer was made up and has not left
 		time.Sleep(min(stands, 4*time.Second))
@@ -288,11 +301,16 @@
 	if m.cannotReceive || time.Since(sent) > 4*time.Second {
 		status = 0
 	}
+	trace.status, trace.redirect, trace.token, trace.tookS = status, answerTo, orders.FencingToken, time.Since(sent).Seconds()
 	switch {
 	case status == 200:
 		if m.leaseEpoch != epoch || orders.FencingToken < m.token {
+			trace.fate = heartbeatAnswerDropped
 			return
 		}
+		if !holds && orders.FencingToken > m.token && m.token > 0 {
+			w.recordEventLocked("a deputy answers under a newer token")
+		}
 		if orders.FencingToken > m.token {
 			m.token, m.changed = orders.FencingToken, true
 		}
--- a/internal/coordination/sim_world_test.go
+++ b/internal/coordination/sim_world_test.go
@@ -73,6 +73,7 @@
 	releasePending     map[string]bool           // machines whose release is in flight, by a late call
 	recoveredAt        time.Time                 // when all faults were over; zero: they are not
 	waiting            waitingCheck
+	leaseEnds          []string // how leases came to end with a task on the worker
 	wg                 sync.WaitGroup
 	ctx                context.Context
 }
