A job that leaves for room elsewhere is no longer kept by its own tasks as they end

Cause: such a job is held back until its attempts have ended and then migrates. The first that ended left room in the job's own shard, and that ended the hold: a task was placed there, the job waited four heartbeats anew, was held back, and so on, one task at a time.

Mend: a job that is held back stays only if its own shard takes as many of its waiting tasks as the room elsewhere. The reason to stay is logged at debug. Moves stay bounded: nothing else was changed.

--- a/internal/coordination/migration_to_room.go
+++ b/internal/coordination/migration_to_room.go
@@ -39,7 +39,7 @@
 // one time.
 type roomElsewhere struct {
 	node  *Node
-	own   []machineRoom                // of the shard itself
+	own   *shard                       // the jobs' own
 	rooms []shardRoom                  // of the other shards
 	usage map[string]storage.Resources // of all shards, by team
 }
@@ -65,14 +65,14 @@
 	}
 	for _, j := range s.jobs {
 		if j.isLeaving() && n.canMigrate(s, j, now) {
-			if target, ok := room.selectFor(j); ok {
+			if target, reason := room.selectFor(j); reason == stayNot {
 				return j, target
 			}
 		}
 	}
 	for _, j := range s.queue {
 		if j.hasWaitedFor(n.heartbeats(roomMigrationHeartbeats), now) && n.canMigrate(s, j, now) {
-			if target, ok := room.selectFor(j); ok {
+			if target, reason := room.selectFor(j); reason == stayNot {
 				return j, target
 			}
 		}
@@ -83,7 +83,7 @@
 // roomElsewhere returns the room of the shards other than the given one, as far
 // as it is known of late and their holders have processor time to spare.
 func (n *Node) roomElsewhere(s *shard, now time.Time) *roomElsewhere {
-	room := &roomElsewhere{node: n, own: s.room, usage: n.teamUsage()}
+	room := &roomElsewhere{node: n, own: s, usage: n.teamUsage()}
 	add := func(index int, rooms []machineRoom) {
 		if index != s.index && len(rooms) > 0 && !n.isHolderOverloaded(index) {
 			room.rooms = append(room.rooms, shardRoom{index, rooms})
@@ -119,17 +119,37 @@
 		if !j.isLeaving() && !j.mayLeave(patience, maxHold, now) {
 			continue
 		}
-		_, hasRoom := room.selectFor(j)
+		target, reason := room.selectFor(j)
 		switch {
-		case !j.isLeaving() && hasRoom:
+		case !j.isLeaving() && reason == stayNot:
 			j.leavingUntil = now.Add(maxHold)
-			slog.Info("job leaving for room in another shard", "job", j.id, "from_shard", s.index, "running", len(j.attempts))
-		case j.isLeaving() && (!hasRoom || now.After(j.leavingUntil)):
-			j.leavingUntil, j.unplacedSince = time.Time{}, now
+			slog.Info("job leaving for room in another shard", "job", j.id, "from_shard", s.index, "to_shard", target, "running", len(j.attempts))
+		case j.isLeaving() && reason != stayNot:
+			j.stay(reason, now)
+		case j.isLeaving() && now.After(j.leavingUntil):
+			j.stay(stayTasksRun, now)
 		}
 	}
 }
 
+// stayReason says why a job stays in its shard.
+type stayReason string
+
+const (
+	stayNot         stayReason = ""              // it does not: it goes to room in another shard
+	stayGang        stayReason = "gang"          // whether all its tasks find room elsewhere is not known
+	stayNoRoom      stayReason = "no room"       // no other shard has any for it
+	stayOwnRoom     stayReason = "own room"      // its own shard takes as many of its tasks
+	stayTeamAtLimit stayReason = "team at limit" // no shard would start it
+	stayTasksRun    stayReason = "tasks run"     // it was held back, and its attempts did not end in time
+)
+
+// stay ends holding the job back. It counts as waiting anew.
+func (j *job) stay(reason stayReason, now time.Time) {
+	slog.Debug("job stays", "job", j.id, "reason", reason, "running", len(j.attempts))
+	j.leavingUntil, j.unplacedSince = time.Time{}, now
+}
+
 // isLeaving reports whether the job is held back until its attempts have ended.
 func (j *job) isLeaving() bool { return !j.leavingUntil.IsZero() }
 
@@ -152,23 +172,69 @@
 	return true
 }
 
-// selectFor selects the shard with the most room for a job; none if its own
-// shard has room, where it only lacks a share, or if its team is at its limit,
-// when no shard would start it.
-func (r *roomElsewhere) selectFor(j *job) (target int, ok bool) {
+// selectFor selects the shard with the most room for a job, or says why it stays.
+func (r *roomElsewhere) selectFor(j *job) (target int, reason stayReason) {
 	if j.spec.IsGang() && j.spec.Tasks > 1 {
-		return 0, false // whether all its tasks find room is not known
-	}
-	if _, hasRoom := j.roomIn(r.own); hasRoom || !r.node.isWithinLimit(j, r.usage) {
-		return 0, false
+		return 0, stayGang
 	}
+	var selected shardRoom
 	most := 0.0
 	for _, other := range r.rooms {
 		if room, fits := j.roomIn(other.rooms); fits && room > most {
-			target, most, ok = other.shard, room, true
+			selected, most = other, room
+		}
+	}
+	switch {
+	case most == 0:
+		return 0, stayNoRoom
+	case r.ownShardTakes(j, selected.rooms):
+		return 0, stayOwnRoom
+	case !r.node.isWithinLimit(j, r.usage):
+		return 0, stayTeamAtLimit
+	}
+	return selected.shard, stayNot
+}
+
+// ownShardTakes reports whether a job's own shard has room for it, so that it
+// waits for nothing but a share of its team's quota, or not for long.
+//
+// A job that is held back gets none of that room, and its own tasks free some as
+// they end. It stays for it only if that takes as many of its waiting tasks as
+// the room elsewhere: otherwise the first task that ends would keep the job here,
+// and so on with each task that is placed in its stead.
+func (r *roomElsewhere) ownShardTakes(j *job, elsewhere []machineRoom) bool {
+	if j.isLeaving() {
+		wanted := min(j.pendingTasks(), j.tasksIn(elsewhere))
+		return r.own.countRoomFor(j, wanted) >= wanted
+	}
+	_, hasRoom := j.roomIn(r.own.room)
+	return hasRoom
+}
+
+// countRoomFor counts the waiting tasks of a job that the shard's machines have
+// room for, up to so many.
+func (s *shard) countRoomFor(j *job, wanted int) int {
+	count := 0
+	for _, m := range s.sortedMachines() {
+		if count >= wanted {
+			break
+		}
+		if free := m.freeCapacity(); free.Fits(j.need) && j.canPlaceOn(m) {
+			count += free.CountFitting(j.need)
+		}
+	}
+	return min(count, wanted)
+}
+
+// tasksIn counts the tasks of the job that find room on these machines.
+func (j *job) tasksIn(rooms []machineRoom) int {
+	count := 0
+	for _, room := range rooms {
+		if room.Free.Fits(j.need) && j.allows(room.Kind.MachineType, room.Kind.Zone, room.Kind.Spot) {
+			count += room.Free.CountFitting(j.need)
 		}
 	}
-	return target, ok
+	return count
 }
 
 // isWithinLimit reports whether a team that uses so much may run one more task
--- a/internal/placement/resources.go
+++ b/internal/placement/resources.go
@@ -1,5 +1,7 @@
 package placement
 
+import "math"
+
 // The kinds of resources, as indices of [Resources].
 const (
 	Cores  = iota
@@ -24,6 +26,17 @@
 	return true
 }
 
+// CountFitting returns how many times need is within r, at most [math.MaxInt32].
+func (r Resources) CountFitting(need Resources) int {
+	count := float64(math.MaxInt32)
+	for i := range r {
+		if need[i] > 0 {
+			count = min(count, math.Floor(r[i]/need[i]+epsilon))
+		}
+	}
+	return max(0, int(count))
+}
+
 // Add returns r + other.
 func (r Resources) Add(other Resources) Resources {
 	for i := range r {
