Room that a job may not use in its own shard no longer keeps it there

Cause: "its own shard has room" was told from the largest free machine of each kind. That a task may not run there, since a copy of its own start may still arrive, its job failed there or its other tasks bind it to a zone, did not count, so the job never left.

New unit test fails before: "stays beside room that the last plan could not use".

Mend: for a job that the last plan left without a machine, room of its own does not count: that plan has looked at each machine with all conditions. A job that lacks a share stays.

--- a/internal/coordination/leaving_own_room_test.go
+++ b/internal/coordination/leaving_own_room_test.go
@@ -72,3 +72,23 @@
 		}
 	}
 }
+
+// Room on a machine of its own shard kept a job there that may not use it (issue 46:
+// wk-000045 in a trial, its last task waited beside 2 free cores where a copy of its own
+// start may arrive, and one in another shard).
+func TestOwnRoomThatJobMayNotUseDoesNotKeepIt(t *testing.T) {
+	w, m := leavingJob()
+	w.job.leavingUntil = w.now.Add(-w.heartbeats(1))
+	w.job.stay(stayTasksRun, w.now.Add(-w.heartbeats(leavingHeartbeats)))
+	w.shard.room = []machineRoom{{Kind: m.kind(), Free: placement.Resources{3, 0, 8}}}
+	w.updateLeaving(w.shard, w.roomElsewhere(w.shard, w.now), w.now)
+	if !w.job.isLeaving() {
+		t.Error("stays beside room that the last plan could not use")
+	}
+	w.job.stay(stayTasksRun, w.now.Add(-w.heartbeats(leavingHeartbeats)))
+	w.job.waitReason = waitsForShare
+	w.updateLeaving(w.shard, w.roomElsewhere(w.shard, w.now), w.now)
+	if w.job.isLeaving() {
+		t.Error("leaves though it only lacks a share")
+	}
+}
--- a/internal/coordination/migration_to_room.go
+++ b/internal/coordination/migration_to_room.go
@@ -207,6 +207,9 @@
 		wanted := min(j.pendingTasks(), j.tasksIn(elsewhere))
 		return r.own.countRoomFor(j, wanted) >= wanted
 	}
+	if j.waitReason == waitsForMachine {
+		return false // the last plan has found no machine that may have one of its tasks
+	}
 	_, hasRoom := j.roomIn(r.own.room)
 	return hasRoom
 }
