--- a/internal/coordination/disabled_guards_test.go
+++ b/internal/coordination/disabled_guards_test.go
@@ -33,9 +33,9 @@
 	guardReads           = "users are told what the state service says now"
 	guardBinding         = "a direct start without an answer binds its task"
 	guardMemory          = "an attempt of which a copy may come is not forgotten"
-	guardUnderWay        = "a deputy does not answer machines to which starts are under way"
-	guardDelegated       = "machines that a deputy names are not taken for silent"
-	guardProxyStops      = "a deputy stops what is cancelled"
+	guardUnderWay        = "a heartbeat proxy does not answer machines to which starts are under way"
+	guardDelegated       = "machines that are delegated are not taken for silent"
+	guardProxyStops      = "a heartbeat proxy stops what is cancelled"
 	guardStartBeforeStop = "a halt of an attempt that may be unknown goes out after its start"
 )
 
--- a/internal/coordination/model_check_test.go
+++ b/internal/coordination/model_check_test.go
@@ -215,7 +215,7 @@
 // one that is.
 func (x *explorer) addProxyEvents(events map[string]func(), i int, w *exWorker, s *shard, m *machine) {
 	if w.report != nil && x.bounds.proxyAnswers > 0 && m.isReconciled() && (!m.hasStartInFlight() || x.fault == faultHastyProxy) {
-		events["deputy "+exName(i)] = func() {
+		events["proxy answers "+exName(i)] = func() {
 			x.bounds.proxyAnswers--
 			w.report, w.awaitsAnswer = nil, false
 			x.answerByProxy(w, s.machineToken(m))
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -51,9 +51,7 @@
 // hasTaskFor reports whether the job has a pending task that may be started on a
 // machine. A task may not while a copy of a start order of an ended attempt may
 // still arrive there: another attempt would displace the ended one that makes
-// the copy harmless. This concerns that very task. Once it kept all tasks of the
-// job away, and a single lost answer did so for as long as the machine was
-// leased.
+// the copy harmless. This concerns that very task, not the others of its job.
 func (j *job) hasTaskFor(m *machine) bool {
 	if m.exchange.CountUnanswered() == 0 {
 		return true
--- a/internal/coordination/sim_heartbeat_proxy_test.go
+++ b/internal/coordination/sim_heartbeat_proxy_test.go
@@ -17,16 +17,16 @@
 // checkProxyAnswer checks an answer of a controller that answers in place of a
 // holder; the world's lock is held.
 func (w *world) checkProxyAnswer(m *simWorker, orders protocol.HeartbeatResponse) {
-	w.recordEventLocked("a deputy answers")
+	w.recordEventLocked("a heartbeat proxy answers")
 	for _, o := range orders.Commands {
 		switch o.Verb {
 		case protocol.VerbStop:
-			w.recordEventLocked("a deputy halts a task")
+			w.recordEventLocked("a heartbeat proxy stops a task")
 		default:
-			w.breakf("a deputy has %s %s a task", m.id, o.Verb)
+			w.breakf("a heartbeat proxy has %s %s a task", m.id, o.Verb)
 		}
 	}
 	if time.Since(m.lastAcknowledged) > time.Duration(w.settings.Deployment.Workers.LeaseS/2*float64(time.Second)) {
-		w.recordEventLocked("a deputy answers late in a worker's lease")
+		w.recordEventLocked("a heartbeat proxy answers late in a worker's lease")
 	}
 }
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -313,7 +313,7 @@
 			return
 		}
 		if !holds && orders.FencingToken > m.token && m.token > 0 {
-			w.recordEventLocked("a deputy answers under a newer token")
+			w.recordEventLocked("a heartbeat proxy answers under a newer token")
 		}
 		if orders.FencingToken > m.token {
 			m.token, m.changed = orders.FencingToken, true
--- a/internal/coordination/unanswered_start_test.go
+++ b/internal/coordination/unanswered_start_test.go
@@ -73,7 +73,7 @@
 				if lost := keptLeases(w); lost != "" && !c.holderReplaced {
 					t.Error(lost)
 				}
-				if t.Failed() || len(w.events["a deputy answers under a newer token"]) > 0 {
+				if t.Failed() || len(w.events["a heartbeat proxy answers under a newer token"]) > 0 {
 					return
 				}
 			}
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -11,8 +11,7 @@
 }
 
 const (
-	// messageCost is the processor time of one message with its response, as
-	// measured on the users' bench.
+	// messageCost is the processor time of one message with its response.
 	messageCost = 350 * time.Microsecond
 	// messageShare is the part of its processor share that a controller may
 	// spend on messages.
