--- a/internal/coordination/delegation_fences_test.go
+++ b/internal/coordination/delegation_fences_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"reedtrack/internal/heartbeatproxy"
+	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
 )
@@ -161,3 +163,58 @@
 		t.Errorf("stops %v", stopped)
 	}
 }
+
+// A cut while a hundred of a thousand machines have an unanswered start: all are
+// acknowledged within so many turns of the writing loop as there are records, each write
+// within the store's limits.
+func TestManyMachinesAreFencedAtOnce(t *testing.T) {
+	const machines, unanswered = 1000, 100
+	n, s, _ := fencedHolder(t, storage.SchemaMachineFences)
+	now := time.Now()
+	delete(n.records.Delegations, testDelegation)
+	var names []string
+	var leases []storage.MachineLease
+	for i := range machines {
+		name := fmt.Sprintf("host-%06d", i)
+		names, leases = append(names, name), append(leases, storage.MachineLease{Machine: name, MachineType: "small", Zone: "b", FencingToken: 2})
+	}
+	s.setGrant(storage.Grant{Machines: leases}, size4, now)
+	for i := range unanswered {
+		m := s.machines[names[i*machines/unanswered]]
+		s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: m.lease.Machine, Address: "x:1", Session: 1, Sequence: 1, FencingToken: 2}, now)
+		j := &job{id: fmt.Sprintf("wk-%06d", i), spec: protocol.Job{Team: "red", Type: "array", Tasks: 1}, revision: 9, need: placement.Resources{1, 0, 1}}
+		s.addJob(j)
+		s.place(j, j.takePendingTask(), m)
+		message := directTarget{s, m}.buildMessage(now)
+		s.finishDirect(&message, DirectAnswer{}, now)
+	}
+	revision, records := uint64(20), 0
+	for rest := names; len(rest) > 0; records++ {
+		count := countFitting(rest, n.storeLimits().MaxValueBytes()/delegationParts)
+		id := storage.DelegationID{Shard: 0, Controller: "n1", Record: records}
+		put(t, n, storage.DelegationKey(id), storage.Delegation{Session: 5, FencingToken: 1, Machines: rest[:count]}, revision)
+		rest, revision = rest[count:], revision+1
+	}
+	turns := 0
+	for acknowledged := 0; acknowledged < machines; turns++ {
+		txns := n.acknowledgementTxns()
+		if len(txns) == 0 || turns > records {
+			t.Fatalf("%d of %d machines acknowledged after %d turns", acknowledged, machines, turns)
+		}
+		for _, txn := range txns {
+			for _, write := range txn.Writes {
+				raw, _ := json.Marshal(write.Value)
+				if len(raw) > n.storeLimits().MaxValueBytes() {
+					t.Fatalf("a value of %d bytes", len(raw))
+				}
+				put(t, n, write.Put, write.Value, revision)
+			}
+			revision++
+		}
+		acknowledged = 0
+		for _, ack := range n.records.DelegationAcks {
+			acknowledged += len(ack.Value.Machines)
+		}
+	}
+	t.Logf("%d records, %d turns", records, turns)
+}
