--- a/internal/coordination/unanswered_start_test.go
+++ b/internal/coordination/unanswered_start_test.go
@@ -90,13 +90,13 @@
 		w.allowMachines(20)
 		w.script = c.faults()
 		w.adjustJob = func(k int, j *protocol.Job, u *user) {
-			inBothZones(200)(k, j, u)
+			inBothZones(100)(k, j, u)
 			j.Cores, j.ImageGB = 1, 1
 			if k%4 < 2 {
 				j.Tasks, u.submitAfter = 2, 57*sec+time.Duration(k)*sec/8
 			}
 		}
-		w.play(24, 150*sec, 900*sec)
+		w.play(20, 150*sec, 400*sec)
 	})
 	return w
 }
