A heartbeat that its holder did not answer is relayed, not sent back

That costs up to 1.3 s of the lease and one exchange more that can be lost.

Mend: the controller relays the heartbeat to the holder over a connection of its own and returns the holder's answer; one hop, one second, one at a time to each controller, not twice in a row for a machine, else 421 as before. The model of heartbeatproxy plays relays that come late and finds a relay that does not ask the holder, and a worker that takes what it has given up. A relayed heartbeat begins the holder's own silence anew, once, or workers on their way back would have it step down. Messages of the new form go out from schema version 6 on, after every controller's mark; a status has the bytes that it had.

The simulated network's rates of loss are as they were; they have names now, so that the new test can lose just what it means to. TestIsolatedHolderStepsDown's control, "without stepping down", lost nothing any more, since relays keep those tasks: it plays without relays too, with its bound as it was.

--- a/cmd/reedtrack/daemon.go
+++ b/cmd/reedtrack/daemon.go
@@ -66,7 +66,7 @@
 		gate.Track(server)
 		listener = gate
 	}
-	go transport.ServePeers(ctx, peerListener, connsPerPeer*max(1, len(set.Siblings)), node.ReceiveStatus)
+	go transport.ServePeers(ctx, peerListener, connsPerPeer*max(1, len(set.Siblings)), node.ReceiveMessage)
 	go server.Serve(listener)
 	if op.StatusListen != "" {
 		// Not waited for: the controller does not depend on this address.
--- a/internal/clusterstate/schema.go
+++ b/internal/clusterstate/schema.go
@@ -46,6 +46,12 @@
 	return r.isEnabled(storage.SchemaMachineFences)
 }
 
+// HeartbeatRelaysEnabled reports whether heartbeats may be relayed to the holder of a
+// shard.
+func (r *Records) HeartbeatRelaysEnabled() bool {
+	return r.isEnabled(storage.SchemaHeartbeatRelays)
+}
+
 // isEnabled reports whether every controller has run a version that supports a
 // schema version.
 func (r *Records) isEnabled(version int) bool {
--- a/internal/coordination/failure_detection_test.go
+++ b/internal/coordination/failure_detection_test.go
@@ -57,7 +57,8 @@
 // A holder that no worker reaches while it has its lease steps down before
 // their leases expire: nothing of what they run is lost, no machine is
 // requested in their place, and the holder is ready again when another has the
-// shard. Without stepping down, all starts again.
+// shard. Without stepping down, and without the other controllers relaying what
+// the holder can't hear, all starts again.
 func TestIsolatedHolderStepsDown(t *testing.T) {
 	for _, c := range []struct {
 		name      string
@@ -78,6 +79,7 @@
 		w := newWorld(3, func(n *Node) {
 			if !stepsDown {
 				n.failureDetector.isolation = failuredetector.NewIsolationDetector(failuredetector.Timing{HeartbeatInterval: time.Hour})
+				n.heartbeatRelay.disabled = true
 			}
 		})
 		stop := w.open()
--- a/internal/coordination/heartbeat.go
+++ b/internal/coordination/heartbeat.go
@@ -13,34 +13,50 @@
 	Status     int                        // http.StatusOK, StatusMisdirectedRequest or StatusServiceUnavailable
 	Response   protocol.HeartbeatResponse // with http.StatusOK: what the worker is to do
 	RedirectTo string                     // with http.StatusMisdirectedRequest: the controller to report to; empty: unknown
+	RelayedTo  string                     // the holder whose answer this is; empty: this controller's own
 }
 
 // unavailableAnswer is the answer of a controller that can't decide what the
 // worker is to do.
 var unavailableAnswer = HeartbeatAnswer{Status: http.StatusServiceUnavailable}
 
-// Heartbeat answers a worker's heartbeat: as the holder of its shard, or as a
-// proxy for a holder that can't be reached. The leader also takes note of
-// machines that belong to no shard yet. All others redirect the worker.
+// Heartbeat answers a worker's heartbeat: as the holder of its shard, as a proxy for
+// a holder that can't be reached, or with the answer of a holder that can. The
+// leader also takes note of machines that belong to no shard yet. All others
+// redirect the worker.
 func (n *Node) Heartbeat(report *protocol.Heartbeat) HeartbeatAnswer {
+	answer, relay := n.answerOrRelay(report)
+	if relay == nil {
+		return answer
+	}
+	if relayed, err := relay.call(); err == nil {
+		return relayed
+	}
+	return answer
+}
+
+// answerOrRelay returns this controller's answer to a worker's heartbeat, and a
+// relay if the holder's answer is to be asked for first.
+func (n *Node) answerOrRelay(report *protocol.Heartbeat) (HeartbeatAnswer, *relayCall) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
 	n.failureDetector.isolation.RecordHeartbeat()
 	if !n.holdsLease(now) {
-		return unavailableAnswer
+		return unavailableAnswer, nil
 	}
 	shardIndex, granted := n.records.ShardOfMachine[report.Machine]
 	if !granted {
-		return n.answerUngranted(report, now)
+		return n.answerUngranted(report, now), nil
 	}
 	if s := n.shards[shardIndex]; s != nil {
-		return n.answerAsHolder(s, report, now)
+		return n.answerAsHolder(s, report, now), nil
 	}
 	if response, ok := n.answerForHolder(report, shardIndex, now); ok {
-		return HeartbeatAnswer{Status: http.StatusOK, Response: response}
+		return HeartbeatAnswer{Status: http.StatusOK, Response: response}, nil
 	}
-	return n.redirect(n.records.Shards[shardIndex].Value.Holder.Name)
+	holder := n.records.Shards[shardIndex].Value.Holder.Name
+	return n.redirect(holder), n.newRelayCall(report, holder, now)
 }
 
 // answerUngranted answers a machine that belongs to no shard. The leader, which
--- /dev/null
+++ b/internal/coordination/heartbeat_relay_test.go
@@ -0,0 +1,259 @@
+package coordination
+
+import (
+	"bytes"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/session"
+	"reedtrack/internal/storage"
+)
+
+// relayPeer delivers messages to a controller as they would be after encoding.
+type relayPeer struct {
+	holder *Node
+	err    error // of each call
+	calls  int
+}
+
+func (p *relayPeer) Call(time.Duration, any, any) error { return errors.New("not for relays") }
+
+func (p *relayPeer) TryCall(_ time.Duration, in, out any) error {
+	p.calls++
+	if p.err != nil {
+		return p.err
+	}
+	raw, err := cbor.Marshal(in)
+	if err != nil {
+		return err
+	}
+	var message PeerMessage
+	if err := cbor.Unmarshal(raw, &message); err != nil {
+		return err
+	}
+	raw, err = cbor.Marshal(p.holder.ReceiveMessage(message))
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(raw, out)
+}
+
+// relayPair is a holder of one machine with a task to start, and a controller that is
+// its peer, with clocks of the test.
+type relayPair struct {
+	holder  *Node
+	machine *machine
+	relay   *Node
+	peer    *relayPeer
+	now     time.Time
+}
+
+// relayTestLease is how long the controllers' leases last in these tests.
+const relayTestLease = time.Hour
+
+// newRelayPair returns both, with the records of a schema version.
+func newRelayPair(t *testing.T, schema int) *relayPair {
+	t.Helper()
+	p := &relayPair{now: time.Now()}
+	w := newWorld(1, nil)
+	p.holder = New(w.settings, w.settings.Defaults(), nil, nil, map[string]Peer{"n1": &relayPeer{}}, nil)
+	s, m, j := oneTask(p.now)
+	s.receiveHeartbeat(m, p.heartbeat(1), p.now)
+	s.place(j, j.takePendingTask(), m)
+	p.machine, p.holder.shards[0] = m, s
+	p.peer = &relayPeer{holder: p.holder}
+	settings := *w.settings
+	settings.HostName = "n1"
+	p.relay = New(&settings, settings.Defaults(), nil, nil, map[string]Peer{"n0": p.peer}, nil)
+	for i, n := range []*Node{p.holder, p.relay} {
+		n.now = func() time.Time { return p.now }
+		n.session.id = uint64(4 + i)
+		n.session.leaseValidUntil = p.now.Add(relayTestLease)
+		n.records.Loaded, n.records.SyncedAt = true, p.now
+		put(t, n, storage.SchemaVersionKey, storage.SchemaVersion{Version: schema}, 10)
+		put(t, n, storage.ShardKey(0), storage.ShardLease{Holder: storage.Controller{Name: "n0", Session: 4}, FencingToken: 1}, 11)
+		put(t, n, storage.GrantKey(0), storage.Grant{Machines: []storage.MachineLease{m.lease}}, 12)
+	}
+	p.relay.heartbeatProxy.firstCalled["n0"] = p.now
+	p.relay.heartbeatProxy.lastReached["n0"] = p.now
+	return p
+}
+
+// heartbeat returns the machine's heartbeat of a sequence number.
+func (p *relayPair) heartbeat(sequence uint64) *protocol.Heartbeat {
+	return &protocol.Heartbeat{Machine: "a", Address: "a:1", MachineType: "small", Zone: "a", Session: 1, Sequence: sequence, FencingToken: 2}
+}
+
+// pass lets time pass, and says whether the relay reaches the holder at its end.
+func (p *relayPair) pass(duration time.Duration, reaches bool) {
+	p.now = p.now.Add(duration)
+	for _, n := range []*Node{p.holder, p.relay} {
+		n.records.SyncedAt = p.now
+	}
+	if reaches {
+		p.relay.heartbeatProxy.lastReached["n0"] = p.now
+	}
+}
+
+// checkRedirect checks that an answer sends the worker to the holder.
+func checkRedirect(t *testing.T, why string, answer HeartbeatAnswer) {
+	t.Helper()
+	if answer.Status != http.StatusMisdirectedRequest || answer.RedirectTo != "n0" {
+		t.Errorf("%s: %+v", why, answer)
+	}
+}
+
+// Guards against workers that are sent back to their holder, by a controller that
+// reaches it, while their lease runs out.
+func TestHeartbeatIsRelayedToHolder(t *testing.T) {
+	p := newRelayPair(t, storage.SchemaHeartbeatRelays)
+	answer := p.relay.Heartbeat(p.heartbeat(2))
+	commands := answer.Response.Commands
+	if answer.Status != http.StatusOK || answer.RelayedTo != "n0" || answer.Response.FencingToken != 2 || len(commands) != 1 || commands[0].Verb != protocol.VerbStart {
+		t.Fatalf("not the holder's answer: %+v", answer)
+	}
+	if heartbeat, _ := p.machine.exchange.Sequences(); heartbeat != 2 || !p.machine.lastAnswered.Equal(p.now) {
+		t.Error("the holder does not count the heartbeat as its own")
+	}
+	p.pass(3*time.Second, true)
+	checkRedirect(t, "the next heartbeat", p.relay.Heartbeat(p.heartbeat(3)))
+	p.pass(4*time.Second, true)
+	if answer := p.relay.Heartbeat(p.heartbeat(4)); answer.Status != http.StatusOK {
+		t.Errorf("back after another loss: %+v", answer)
+	}
+}
+
+// Guards against a relay that keeps a worker waiting, or sends what a holder may not know.
+func TestHeartbeatIsRedirectedIfRelayFails(t *testing.T) {
+	p := newRelayPair(t, storage.SchemaHeartbeatRelays)
+	p.peer.err = errors.New("link is busy")
+	checkRedirect(t, "the call fails", p.relay.Heartbeat(p.heartbeat(2)))
+	p = newRelayPair(t, storage.SchemaHeartbeatRelays)
+	p.pass(unreachableAfter, false)
+	checkRedirect(t, "the holder is unreachable", p.relay.Heartbeat(p.heartbeat(2)))
+	if p.peer.calls != 0 {
+		t.Error("an unreachable holder is called")
+	}
+	p = newRelayPair(t, storage.SchemaHeartbeatRelays-1)
+	checkRedirect(t, "not every controller has run this version", p.relay.Heartbeat(p.heartbeat(2)))
+	if p.peer.calls != 0 {
+		t.Error("a form is sent that the holder may not know")
+	}
+}
+
+// Guards against answers without a right to give them: the holder's lease has passed, or
+// another controller holds the shard.
+func TestRelayedHeartbeatNeedsHolder(t *testing.T) {
+	p := newRelayPair(t, storage.SchemaHeartbeatRelays)
+	p.holder.session.leaseValidUntil = p.now
+	if answer := p.relay.Heartbeat(p.heartbeat(2)); answer.Status != http.StatusServiceUnavailable {
+		t.Errorf("the holder's lease has passed: %+v", answer)
+	}
+	p = newRelayPair(t, storage.SchemaHeartbeatRelays)
+	delete(p.holder.shards, 0)
+	put(t, p.holder, storage.ShardKey(0), storage.ShardLease{Holder: storage.Controller{Name: "n2", Session: 9}, FencingToken: 3}, 13)
+	if answer := p.relay.Heartbeat(p.heartbeat(2)); answer.Status != http.StatusMisdirectedRequest || answer.RedirectTo != "n2" {
+		t.Errorf("another controller holds the shard: %+v", answer)
+	}
+}
+
+// Guards against late copies by two ways: a heartbeat that a newer one has overtaken
+// changes nothing, and its start is not taken for lost.
+func TestOvertakenRelayedHeartbeatChangesNothing(t *testing.T) {
+	p := newRelayPair(t, storage.SchemaHeartbeatRelays)
+	if answer := p.holder.Heartbeat(p.heartbeat(3)); len(answer.Response.Commands) != 1 {
+		t.Fatalf("answered %+v", answer)
+	}
+	for sequence := uint64(2); sequence <= 3; sequence++ {
+		message := RelayedHeartbeat{From: "n1", Session: 5, Hops: relayHops, Report: *p.heartbeat(sequence)}
+		if answer := p.holder.receiveRelayed(&message); answer.Status != http.StatusServiceUnavailable {
+			t.Errorf("sequence %d is answered: %+v", sequence, answer)
+		}
+	}
+	if len(p.machine.attempts) != 1 {
+		t.Error("the start is taken for lost")
+	}
+}
+
+// Guards against messages that no controller of this version sends: they are refused,
+// change nothing, and are logged once for each reason.
+func TestInvalidRelayedHeartbeatIsRefused(t *testing.T) {
+	var log bytes.Buffer
+	previous := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	defer slog.SetDefault(previous)
+	p := newRelayPair(t, storage.SchemaHeartbeatRelays)
+	past := &session.History{}
+	past.Observe(3)
+	past.Observe(5)
+	p.holder.session.past["n1"] = past
+	valid := RelayedHeartbeat{From: "n1", Session: 5, Hops: relayHops, Report: *p.heartbeat(2)}
+	for reason, change := range map[string]func(*RelayedHeartbeat){
+		"unknown controller": func(r *RelayedHeartbeat) { r.From = "n7" },
+		"too old":            func(r *RelayedHeartbeat) { r.Session = 3 },
+		"relayed before":     func(r *RelayedHeartbeat) { r.Hops++ },
+		"too large":          func(r *RelayedHeartbeat) { r.Report.Tasks = make([]protocol.TaskStatus, maxRelayedTasks+1) },
+		"stint":              func(r *RelayedHeartbeat) { r.Report.Session = 0 },
+	} {
+		invalid := valid
+		change(&invalid)
+		for range 2 {
+			if answer := p.holder.receiveRelayed(&invalid); answer.Status != http.StatusServiceUnavailable {
+				t.Errorf("%s: %+v", reason, answer)
+			}
+		}
+		if count := strings.Count(log.String(), reason); count != 1 {
+			t.Errorf("%s: logged %d times", reason, count)
+		}
+	}
+	if heartbeat, _ := p.machine.exchange.Sequences(); heartbeat != 1 {
+		t.Error("a refused heartbeat changes what the holder knows")
+	}
+	if answer := p.holder.receiveRelayed(&valid); answer.Status != http.StatusOK {
+		t.Errorf("a valid one: %+v", answer)
+	}
+}
+
+// Guards against statuses that former versions can't read, or that are taken for
+// heartbeats.
+func TestPeerMessageIsStatusOfFormerVersion(t *testing.T) {
+	status := Status{From: "n1", Session: 5, Cordoned: []string{"a"}}
+	encoding, _ := cbor.EncOptions{Sort: cbor.SortCanonical}.EncMode()
+	former, _ := encoding.Marshal(status)
+	if written, _ := encoding.Marshal(PeerMessage{Status: status}); !bytes.Equal(written, former) {
+		t.Errorf("written as %x, not %x", written, former)
+	}
+	var message PeerMessage
+	if err := cbor.Unmarshal(former, &message); err != nil || message.Heartbeat != nil || message.From != status.From || message.Session != status.Session {
+		t.Errorf("%+v, %v", message, err)
+	}
+	reply := StatusReply{From: "n0", IsLeader: true}
+	former, _ = encoding.Marshal(reply)
+	if written, _ := encoding.Marshal(PeerReply{StatusReply: reply}); !bytes.Equal(written, former) {
+		t.Errorf("reply written as %x, not %x", written, former)
+	}
+}
+
+// Guards against memory that grows with every machine that ever turned to a controller.
+func TestRelayedMachinesAreBounded(t *testing.T) {
+	relay, now := newHeartbeatRelay(), time.Now()
+	const interval = 4 * time.Second
+	for i := range maxRelayedMachines {
+		if !relay.begin(string(rune(i+1)), interval, now) {
+			t.Fatalf("machine %d is not relayed", i)
+		}
+	}
+	if relay.begin("another", interval, now) {
+		t.Error("more machines than the bound")
+	}
+	if !relay.begin("another", interval, now.Add(interval+1)) || len(relay.relayedAt) != 1 {
+		t.Errorf("%d machines are remembered after the interval", len(relay.relayedAt))
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -71,6 +71,7 @@
 	cpuMeter         cpuMeter
 	failureDetector  failureDetector
 	heartbeatProxy   heartbeatProxy
+	heartbeatRelay   heartbeatRelay
 
 	// The other controllers, and leadership.
 	ordinal            int // position of this controller among all, by name
@@ -85,6 +86,9 @@
 	// Call sends a message and decodes the reply into out. After an error the
 	// message may have been received all the same.
 	Call(timeout time.Duration, in, out any) error
+	// TryCall is like Call, but fails at once while another TryCall is under way. It
+	// never delays a Call.
+	TryCall(timeout time.Duration, in, out any) error
 }
 
 // Cloud is the API of the cloud provider. A call that failed may have been
@@ -153,6 +157,7 @@
 	limits := &n.settings.Deployment.Limits
 	heartbeatInterval := config.Seconds(n.settings.Deployment.Workers.ReportS)
 	n.heartbeatProxy = newHeartbeatProxy(n.timing)
+	n.heartbeatRelay = newHeartbeatRelay()
 	n.failureDetector = newFailureDetector(heartbeatInterval)
 	n.limiter = dispatch.NewLimiter(dispatch.LimitsFor(heartbeatInterval, limits.CPUShare, limits.MaxSockets))
 	if n.operator.LatencyLogInterval > 0 {
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"net/http"
 	"time"
 
 	"reedtrack/internal/config"
@@ -243,7 +244,7 @@
 	time.Sleep(time.Duration(1+w.intn(30))*time.Millisecond + w.heartbeatLatency())
 	w.mu.Lock()
 	n, cut, still := w.nodes[to].node, !w.reaches(m.rental.Zone, w.nodes[to]) || m.cannotSend, time.Until(w.nodes[to].pausedUntil)
-	held := w.random.IntN(60) == 0
+	held := w.heldHeartbeats > 0 && w.random.IntN(w.heldHeartbeats) == 0
 	late := time.Duration(4+w.random.IntN(40)) * time.Second
 	if still > 4*time.Second { // it waits in the socket of a paused process
 		held, late = true, still
@@ -265,6 +266,7 @@
 	}
 	var answered time.Time
 	holds := false    // who answers holds the machine's shard
+	relayed := false  // the answer is the holder's, by way of another controller
 	if held && !cut { // delivered, but so late that nobody waits for the answer
 		w.spawn(func() {
 			time.Sleep(late)
@@ -277,9 +279,9 @@
 		time.Sleep(max(still, 0))
 		answer := n.Heartbeat(r)
 		status, orders, answerTo = answer.Status, answer.Response, answer.RedirectTo
-		answered, holds = time.Now(), n.holdsMachine(m.id)
+		answered, holds, relayed = time.Now(), n.holdsMachine(m.id), answer.RelayedTo != ""
 		time.Sleep(time.Duration(1+w.intn(30))*time.Millisecond + w.heartbeatLatency())
-		if w.chance(0.02) { // the answer is lost
+		if w.chance(w.heartbeatAnswers) || w.losesRenewal(m.id, status) { // the answer is lost
 			time.Sleep(4 * time.Second)
 			trace.fate, trace.renews = heartbeatAnswerLost, status == 200
 			trace.lost = status == 200 || status == 421
@@ -310,16 +312,19 @@
 			trace.fate = heartbeatAnswerDropped
 			return
 		}
-		if !holds && orders.FencingToken > m.token && m.token > 0 {
+		if !holds && !relayed && orders.FencingToken > m.token && m.token > 0 {
 			w.recordEventLocked("a heartbeat proxy answers under a newer token")
 		}
 		if orders.FencingToken > m.token {
 			m.token, m.changed = orders.FencingToken, true
 		}
 		m.lastAcknowledged = sent
-		if holds {
+		switch {
+		case relayed: // its token was checked where the holder answered, see simPeer
+			w.recordEventLocked("a heartbeat is answered by a relay")
+		case holds:
 			w.checkTokenOwner(m.id, orders.FencingToken, n)
-		} else {
+		default:
 			w.checkProxyAnswer(m, orders)
 			if w.disabledGuards.proxyStops {
 				orders.Commands = nil
@@ -339,6 +344,18 @@
 	}
 }
 
+// losesRenewal tells whether an answer that would renew a worker's lease is one of
+// those to be lost.
+func (w *world) losesRenewal(machine string, status int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if status != http.StatusOK || w.answersToLose[machine] == 0 {
+		return false
+	}
+	w.answersToLose[machine]--
+	return true
+}
+
 // carryOut carries out orders that were made at a time; the world's lock is
 // held.
 func (m *simWorker) carryOut(orders []protocol.Command, made time.Time) {
--- a/internal/coordination/sim_world_test.go
+++ b/internal/coordination/sim_world_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"testing/synctest"
@@ -47,6 +48,7 @@
 	startedAt            time.Time                             // when the faults began
 	shards               int                                   // 0: as many as controllers
 	faultSettings
+	linkLoss
 	disabledGuards
 	afterRental func() // called once, between the first rental and its answer, which is lost
 
@@ -78,6 +80,17 @@
 	ctx                context.Context
 }
 
+// linkLoss is what the simulated network loses with no fault injected.
+type linkLoss struct {
+	heldHeartbeats   int            // one in so many is held up, and nobody waits for its answer; 0: none
+	heartbeatAnswers float64        // share of them
+	peerCalls        float64        // share of them
+	answersToLose    map[string]int // by machine: how many of the next renewals of its lease are lost
+}
+
+// defaultLinkLoss is the loss in all worlds that don't say otherwise.
+var defaultLinkLoss = linkLoss{heldHeartbeats: 60, heartbeatAnswers: 0.02, peerCalls: 0.02}
+
 type simNode struct {
 	name            string
 	node            *Node
@@ -112,7 +125,7 @@
 	d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 300, 200, 16, 12
 	d.Cloud.RPS, d.Cloud.ListLagS = 10, 2
 	d.Limits.CPUShare = 0.1
-	return &world{settings: set, store: emulator.NewKVStore(), maxMachines: 10, fillMachines: 2, maxTasks: 9, faultSettings: faultSettings{txnFailureRate: 0.02}, random: rand.New(rand.NewPCG(seed, 1)), tweak: tweak,
+	return &world{settings: set, store: emulator.NewKVStore(), maxMachines: 10, fillMachines: 2, maxTasks: 9, faultSettings: faultSettings{txnFailureRate: 0.02}, linkLoss: defaultLinkLoss, random: rand.New(rand.NewPCG(seed, 1)), tweak: tweak,
 		workers: map[string]*simWorker{}, ready: map[string]time.Time{}, rentals: map[string][]string{},
 		specs: map[string]*protocol.Job{}, finalStatus: map[string]string{}, accepted: map[string]bool{},
 		cancelConfirmedAt: map[string]time.Time{}, acceptedAt: map[string]time.Time{}, cancelRequested: map[string]bool{}, done: map[string]bool{},
@@ -153,9 +166,19 @@
 // Controllers.
 
 type simPeer struct {
-	w    *world
-	to   int
-	from string
+	w      *world
+	to     int
+	from   string
+	trying *sync.Mutex // held during a TryCall
+}
+
+// TryCall fails while another is under way, and is like Call otherwise.
+func (p simPeer) TryCall(timeout time.Duration, in, out any) error {
+	if !p.trying.TryLock() {
+		return errors.New("busy")
+	}
+	defer p.trying.Unlock()
+	return p.Call(timeout, in, out)
 }
 
 func (p simPeer) Call(timeout time.Duration, in, out any) error {
@@ -174,13 +197,29 @@
 		time.Sleep(min(still, timeout))
 		cut = cut || still > timeout
 	}
-	if n == nil || cut || p.w.chance(0.02) {
+	if n == nil || cut || p.w.chance(p.w.peerCalls) {
 		return errors.New("no link")
 	}
-	*out.(*StatusReply) = n.ReceiveStatus(*in.(*Status))
+	p.deliver(n, in, out)
 	return nil
 }
 
+// deliver has a controller answer a message.
+func (p simPeer) deliver(n *Node, in, out any) {
+	message, ok := in.(*PeerMessage)
+	if !ok {
+		*out.(*StatusReply) = n.ReceiveStatus(*in.(*Status))
+		return
+	}
+	reply := n.ReceiveMessage(*message)
+	if answer := reply.Heartbeat; answer != nil && answer.Status == http.StatusOK {
+		p.w.mu.Lock()
+		p.w.checkTokenOwner(message.Heartbeat.Report.Machine, answer.Response.FencingToken, n)
+		p.w.mu.Unlock()
+	}
+	*out.(*PeerReply) = reply
+}
+
 // newNode makes a process of a controller that uses the world's cloud and workers.
 func (w *world) newNode(i int, set *config.Settings, op config.Operator, st *storage.Client, peers map[string]Peer) *Node {
 	var n *Node
@@ -201,7 +240,7 @@
 	peers := map[string]Peer{}
 	for k, o := range w.nodes {
 		if k != i {
-			peers[o.name] = simPeer{w, k, set.HostName}
+			peers[o.name] = simPeer{w, k, set.HostName, new(sync.Mutex)}
 		}
 	}
 	w.mu.Lock()
--- a/internal/failuredetector/isolation.go
+++ b/internal/failuredetector/isolation.go
@@ -19,6 +19,7 @@
 	lastTick   time.Time
 	backoff    time.Duration // the least time from the next step-down to the one after it
 	unverified bool          // it has stepped down, and received no heartbeat since
+	relayed    bool          // the silence began anew with a relayed heartbeat
 
 	nextStepDownAt time.Time // no step-down before this
 	nextHandoverAt time.Time // no step-down before this on account of machines that were never heard
@@ -46,7 +47,17 @@
 
 // RecordHeartbeat records that a heartbeat arrived, of whatever worker.
 func (d *IsolationDetector) RecordHeartbeat() {
-	d.silence, d.backoff, d.unverified = 0, minStepDownBackoff, false
+	d.silence, d.backoff, d.unverified, d.relayed = 0, minStepDownBackoff, false, false
+}
+
+// RecordRelayedHeartbeat records that another controller relayed a heartbeat. That
+// does not show that workers reach this one; but a worker that was answered so comes
+// back only with its next heartbeat. So the silence begins anew, once: a controller
+// that is isolated steps down all the same.
+func (d *IsolationDetector) RecordRelayedHeartbeat() {
+	if !d.relayed {
+		d.silence, d.relayed = 0, true
+	}
 }
 
 // Tick records that time has passed in which this process could receive
--- a/internal/failuredetector/isolation_test.go
+++ b/internal/failuredetector/isolation_test.go
@@ -88,3 +88,25 @@
 		t.Error("shards go round")
 	}
 }
+
+// Guards against a controller that gives its session up while workers are on their way
+// back from a relay, and against one that relays keep from stepping down.
+func TestRelayedHeartbeatDelaysStepDownOnce(t *testing.T) {
+	d := newTestDetector()
+	d.RecordHeartbeat()
+	d.run(testTiming.SuspectAfter())
+	d.RecordRelayedHeartbeat()
+	if d.run(testTiming.SuspectAfter()); d.ShouldStepDown(100, 0, 0, d.now) {
+		t.Error("steps down before the worker can be back")
+	}
+	d.RecordRelayedHeartbeat()
+	if d.run(maxTick); !d.ShouldStepDown(100, 0, 0, d.now) {
+		t.Error("does not step down while all heartbeats are relayed")
+	}
+	d.RecordHeartbeat()
+	d.run(testTiming.SuspectAfter())
+	d.RecordRelayedHeartbeat()
+	if d.run(maxTick); d.ShouldStepDown(100, 0, 0, d.now) {
+		t.Error("a relay does not count after a direct heartbeat")
+	}
+}
--- a/internal/heartbeatproxy/delegation_test.go
+++ b/internal/heartbeatproxy/delegation_test.go
@@ -27,6 +27,9 @@
 	for name, omitted := range map[string]omissions{
 		"acknowledgement": {acknowledgement: true, noStarts: true},
 		"pending starts":  {pendingStarts: true},
+		// Of relays: the holder has to be asked, and the worker to keep its deadline.
+		"holder's answer":  {holderUnasked: true, noStarts: true},
+		"response timeout": {responseTimeout: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range 100000 {
--- a/internal/heartbeatproxy/model_test.go
+++ b/internal/heartbeatproxy/model_test.go
@@ -10,7 +10,9 @@
 // The model counts time in ticks of a second. One machine of a shard runs a
 // task. Its holder and a proxy each follow, with a delay, the proxy's record, the
 // holder's acknowledgement and the cancellation of a second task, which the
-// holder starts by direct messages that may arrive at any later time.
+// holder starts by direct messages that may arrive at any later time. The worker
+// has one heartbeat in flight: to the proxy, to the holder, or to a controller that
+// relays it to the holder, where it may arrive at any later time.
 const (
 	modelCopyAge     = 4 // a copy of the records on which a controller acts is younger than this
 	modelWorkerLease = 9 // a worker keeps its tasks for so long after it sent a heartbeat that was answered
@@ -49,6 +51,26 @@
 	oldToken        bool // the proxy answers with the token as it was before the acknowledgement
 	fencedStarts    bool // the acknowledgement does not name the starts
 	noStarts        bool // nothing is sent straight to the worker
+	holderUnasked   bool // a relay answers without the holder's answer
+	responseTimeout bool // the worker takes a relayed response that it has given up
+}
+
+// relayedHeartbeat is a heartbeat that a relay has sent to the holder.
+type relayedHeartbeat struct {
+	sequence uint64
+	sentAt   int    // by the worker
+	token    uint64 // the newest that the worker had seen
+	lists    bool   // the second task is on the worker
+}
+
+// relayedResponse is the holder's response to a relayed heartbeat, under way to the
+// worker.
+type relayedResponse struct {
+	sequence uint64
+	sentAt   int // the heartbeat, by the worker
+	token    uint64
+	starts   bool // it starts the second task
+	stops    bool // it stops the second task
 }
 
 // workerResponse is a proxy's response to a heartbeat, under way to the worker.
@@ -79,9 +101,15 @@
 	workerToken    uint64         // the newest that it has seen
 	response       workerResponse // under way to it; zero sentAt: none
 	lateStarts     []uint64       // tokens of the starts under way to the worker
-	startRuns      bool           // the second task is on the worker
-	cancelledAt    int            // when the second task's job ended; 0: it has not
-	violation      string
+	sequence       uint64         // of its newest heartbeat
+	awaited        uint64         // the sequence of the relayed heartbeat that it waits for; 0: none
+
+	relayed      []relayedHeartbeat // under way to the holder
+	responses    []relayedResponse  // under way from it
+	holderNewest uint64             // the newest sequence that the holder has received
+	startRuns    bool               // the second task is on the worker
+	cancelledAt  int                // when the second task's job ended; 0: it has not
+	violation    string
 }
 
 func newProxyModel(omitted omissions) *proxyModel {
@@ -236,9 +264,70 @@
 	w.history = append(w.history, next)
 }
 
+// beginHeartbeat has the worker give up the heartbeat that it has in flight, if any,
+// and make a new one.
+func (w *proxyModel) beginHeartbeat() {
+	w.sequence++
+	w.awaited, w.response = 0, workerResponse{}
+}
+
+// relayHeartbeat has the worker's heartbeat reach a controller that relays it.
+func (w *proxyModel) relayHeartbeat() {
+	if !w.isRunning() {
+		return
+	}
+	w.beginHeartbeat()
+	w.awaited = w.sequence
+	w.relayed = append(w.relayed, relayedHeartbeat{w.sequence, w.now, w.workerToken, w.startRuns})
+	if w.omitted.holderUnasked {
+		w.responses = append(w.responses, relayedResponse{sequence: w.sequence, sentAt: w.now, token: w.workerToken})
+	}
+}
+
+// relayedArrives has a relayed heartbeat reach the holder, which answers if it is the
+// newest that it has received.
+func (w *proxyModel) relayedArrives(i int) {
+	heartbeat := w.relayed[i]
+	w.relayed = slices.Delete(w.relayed, i, i+1)
+	r := w.recordsAt(w.holderCopy)
+	if w.lost || heartbeat.sequence <= w.holderNewest || r.token < heartbeat.token {
+		return
+	}
+	w.holderNewest, w.lastAnswered = heartbeat.sequence, w.now
+	if heartbeat.lists || heartbeat.token > w.startToken {
+		w.startUnconfirmed = false
+	}
+	w.responses = append(w.responses, relayedResponse{
+		sequence: heartbeat.sequence,
+		sentAt:   heartbeat.sentAt,
+		token:    r.token,
+		starts:   w.startUnconfirmed,
+		stops:    r.cancelled && (w.startUnconfirmed || heartbeat.lists),
+	})
+}
+
+// relayedResponseArrives has the worker receive the holder's response from the relay.
+func (w *proxyModel) relayedResponseArrives(i int) {
+	response := w.responses[i]
+	w.responses = slices.Delete(w.responses, i, i+1)
+	isAwaited := response.sequence == w.awaited && w.now-response.sentAt <= modelMaxResponse
+	if !isAwaited && !w.omitted.responseTimeout || !w.isRunning() || response.token < w.workerToken {
+		return
+	}
+	w.awaited = 0
+	w.workerToken, w.leaseExpiresAt = response.token, max(w.leaseExpiresAt, response.sentAt+modelWorkerLease)
+	if response.starts {
+		w.startRuns, w.lateStarts = true, nil
+	}
+	if response.stops {
+		w.startRuns = false
+	}
+}
+
 // sendHeartbeat has the worker's heartbeat reach the proxy, which answers if it
 // may. The response is under way from then on.
 func (w *proxyModel) sendHeartbeat() {
+	w.beginHeartbeat()
 	w.delegation.RecordHeartbeat(modelMachine, w.time())
 	if !w.isRunning() || !w.delegation.CanAnswer(modelMachine) {
 		return
@@ -278,6 +367,8 @@
 	if w.lost || !w.isRunning() || r.token < w.workerToken {
 		return
 	}
+	w.beginHeartbeat()
+	w.holderNewest = w.sequence
 	isFenced := w.workerToken > w.startToken
 	w.workerToken = r.token
 	w.lastAnswered, w.leaseExpiresAt = w.now, w.now+modelWorkerLease
@@ -323,7 +414,18 @@
 				w.executeWrite(pick(len(w.writes)))
 			}
 		},
-		"holder answers": w.answerAsHolder,
+		"holder answers":  w.answerAsHolder,
+		"relay heartbeat": w.relayHeartbeat,
+		"relayed heartbeat arrives": func() {
+			if len(w.relayed) > 0 {
+				w.relayedArrives(pick(len(w.relayed)))
+			}
+		},
+		"relayed response arrives": func() {
+			if len(w.responses) > 0 {
+				w.relayedResponseArrives(pick(len(w.responses)))
+			}
+		},
 	}
 }
 
@@ -358,6 +460,9 @@
 		"holder copy updated", "holder copy updated",
 		"proxy copy updated", "proxy copy updated",
 		"holder answers",
+		"relay heartbeat", "relay heartbeat",
+		"relayed heartbeat arrives", "relayed heartbeat arrives",
+		"relayed response arrives", "relayed response arrives",
 	}
 	for range rapid.IntRange(1, 150).Draw(t, "length") {
 		events[rapid.SampledFrom(weighted).Draw(t, "event")]()
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -74,13 +74,15 @@
 	if err := json.Unmarshal(raw, heartbeat); err != nil {
 		return nil, &InvalidFieldError{"body", "not a worker's report"}
 	}
-	if err := heartbeat.validate(); err != nil {
+	if err := heartbeat.Validate(); err != nil {
 		return nil, err
 	}
 	return heartbeat, nil
 }
 
-func (h *Heartbeat) validate() error {
+// Validate returns an *InvalidFieldError for a heartbeat that lacks a field or has a
+// value that no worker sends.
+func (h *Heartbeat) Validate() error {
 	if h.Machine == "" || len(h.Machine) > maxMachineNameBytes || strings.ContainsAny(h.Machine, " /") {
 		return &InvalidFieldError{"reed", "missing or invalid"}
 	}
--- a/internal/storage/schema.go
+++ b/internal/storage/schema.go
@@ -17,8 +17,11 @@
 	// SchemaMachineFences lets a holder give a machine a newer fencing token with a
 	// DelegationAck: every proxy answers with it.
 	SchemaMachineFences = 5
+	// SchemaHeartbeatRelays lets controllers relay heartbeats to a holder: every holder
+	// knows such messages. See coordination.RelayedHeartbeat.
+	SchemaHeartbeatRelays = 6
 	// SchemaLatest is the latest version that this program knows.
-	SchemaLatest = SchemaMachineFences
+	SchemaLatest = SchemaHeartbeatRelays
 )
 
 // SchemaVersion says which schema version is in use. It is raised once every controller
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -35,6 +35,11 @@
 		Name: "reedtrack_upgraded_controllers",
 		Help: "Controllers that have run a version that knows the newest form.",
 	})
+	// HeartbeatRelays counts the heartbeats that this controller relayed to holders.
+	HeartbeatRelays = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "reedtrack_heartbeat_relays_total",
+		Help: "Heartbeats relayed to the holder of the machine's shard, by outcome.",
+	}, []string{"outcome"})
 	// BlockedJobs is how many jobs of this controller's shards are blocked by a
 	// dependency.
 	BlockedJobs = prometheus.NewGauge(prometheus.GaugeOpts{
@@ -44,7 +49,7 @@
 )
 
 func init() {
-	prometheus.MustRegister(requestsTotal, requestSeconds, RecordSchemaVersion, UpgradedControllers, BlockedJobs)
+	prometheus.MustRegister(requestsTotal, requestSeconds, RecordSchemaVersion, UpgradedControllers, BlockedJobs, HeartbeatRelays)
 }
 
 // measure counts and times the requests of a kind.
--- a/internal/transport/peer.go
+++ b/internal/transport/peer.go
@@ -21,64 +21,100 @@
 // errBackoff says that a peer is not called so soon after a failure.
 var errBackoff = errors.New("link is down")
 
-// PeerClient calls one other controller: CBOR values over one TCP connection, one
-// request at a time. A failure closes the connection; a later call opens a new
-// one. It is safe for concurrent use.
+// errBusy says that another call of the same link is under way.
+var errBusy = errors.New("link is busy")
+
+// PeerClient calls one other controller: CBOR values over two TCP connections, one
+// request at a time on each. It is safe for concurrent use.
 type PeerClient struct {
+	calls peerLink
+	tries peerLink
+}
+
+// NewPeerClient returns a client of the controller that listens at addr
+// (host:port). It does not connect yet.
+func NewPeerClient(addr string) *PeerClient {
+	return &PeerClient{calls: peerLink{addr: addr}, tries: peerLink{addr: addr}}
+}
+
+// Call sends in and decodes the response into out. After a failure calls fail at
+// once for as long as timeout.
+func (p *PeerClient) Call(timeout time.Duration, in, out any) error {
+	p.calls.mu.Lock()
+	defer p.calls.mu.Unlock()
+	return p.calls.call(timeout, in, out)
+}
+
+// TryCall is like Call over a connection of its own, which it neither takes from
+// calls nor waits for: it fails at once while another TryCall is under way.
+func (p *PeerClient) TryCall(timeout time.Duration, in, out any) error {
+	if !p.tries.mu.TryLock() {
+		return errBusy
+	}
+	defer p.tries.mu.Unlock()
+	return p.tries.call(timeout, in, out)
+}
+
+// peerLink is one connection to another controller. A failure closes it; a later
+// call opens a new one.
+type peerLink struct {
 	addr string
 
 	mu         sync.Mutex
 	conn       net.Conn // nil: none is open
 	enc        *cbor.Encoder
 	dec        *cbor.Decoder
+	lastUsed   time.Time
 	retryAfter time.Time // no new connection before this
 }
 
-// NewPeerClient returns a client of the controller that listens at addr
-// (host:port). It does not connect yet.
-func NewPeerClient(addr string) *PeerClient { return &PeerClient{addr: addr} }
-
-// Call sends in and decodes the response into out. After a failure calls fail at
-// once for as long as timeout.
-func (p *PeerClient) Call(timeout time.Duration, in, out any) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// call sends in and decodes the response into out. The caller holds mu.
+func (l *peerLink) call(timeout time.Duration, in, out any) error {
 	start := time.Now()
-	if p.conn == nil {
-		if start.Before(p.retryAfter) {
+	if l.conn != nil && start.Sub(l.lastUsed) > peerIdleTimeout/2 {
+		l.close() // the other side is about to, or has
+	}
+	if l.conn == nil {
+		if start.Before(l.retryAfter) {
 			return errBackoff
 		}
-		if err := p.connect(timeout); err != nil {
-			p.retryAfter = time.Now().Add(timeout)
+		if err := l.connect(timeout); err != nil {
+			l.retryAfter = time.Now().Add(timeout)
 			return err
 		}
 	}
-	p.conn.SetDeadline(start.Add(timeout))
-	err := p.exchange(in, out)
+	l.lastUsed = start
+	l.conn.SetDeadline(start.Add(timeout))
+	err := l.exchange(in, out)
 	if err != nil {
-		p.conn.Close()
-		p.conn = nil
-		p.retryAfter = time.Now().Add(timeout)
+		l.close()
+		l.retryAfter = time.Now().Add(timeout)
 	}
 	return err
 }
 
 // connect opens the connection. The caller holds mu.
-func (p *PeerClient) connect(timeout time.Duration) error {
-	conn, err := net.DialTimeout("tcp", p.addr, timeout)
+func (l *peerLink) connect(timeout time.Duration) error {
+	conn, err := net.DialTimeout("tcp", l.addr, timeout)
 	if err != nil {
 		return err
 	}
-	p.conn, p.enc, p.dec = conn, cbor.NewEncoder(conn), cbor.NewDecoder(conn)
+	l.conn, l.enc, l.dec = conn, cbor.NewEncoder(conn), cbor.NewDecoder(conn)
 	return nil
 }
 
+// close closes the connection. The caller holds mu.
+func (l *peerLink) close() {
+	l.conn.Close()
+	l.conn = nil
+}
+
 // exchange sends a request and reads the response. The caller holds mu.
-func (p *PeerClient) exchange(in, out any) error {
-	if err := p.enc.Encode(in); err != nil {
+func (l *peerLink) exchange(in, out any) error {
+	if err := l.enc.Encode(in); err != nil {
 		return err
 	}
-	return p.dec.Decode(out)
+	return l.dec.Decode(out)
 }
 
 // ServePeers answers other controllers until ctx ends, and then returns nil. Each
