A few machines that lose a heartbeat during a cut no longer end their holder's session

Cause: the silence of four machines that have reported is taken for isolation after 4.5 s. Those that are delegated to a heartbeat proxy were counted, though they report there, so the silence of the one or two others was enough; one lost heartbeat of a single machine is 8 s.

Mend: beside delegated machines, fewer than four others count only after four heartbeat intervals. Nothing else changes: a step-down is a matter of service, no rule depends on it. The new test fails before in the one case of two machines that are silent for 9 s, and passes after; the other cases, all that step down, passed before too.

--- a/internal/coordination/failure_detection.go
+++ b/internal/coordination/failure_detection.go
@@ -101,10 +101,13 @@
 		return false
 	}
 	counts := n.countReporting(now)
+	if counts.delegated > 0 && detector.isolation.MayBeCoincidence(counts.reporting-counts.delegated) {
+		return false
+	}
 	if !detector.isolation.ShouldStepDown(counts.reporting, counts.neverReported, counts.overdue, now) {
 		return false
 	}
-	slog.Warn("session given up: no heartbeats received", "shards", len(n.shards), "reporting_machines", counts.reporting,
+	slog.Warn("session given up: no heartbeats received", "shards", len(n.shards), "reporting_machines", counts.reporting, "delegated_machines", counts.delegated,
 		"never_reported_machines", counts.neverReported, "silence", detector.isolation.Silence())
 	detector.isolation.RecordStepDown(counts.reporting > 0, now)
 	n.session.own.StepDown(now.Add(detector.timing.ReopenDelay()))
@@ -117,6 +120,7 @@
 // have ever reported to it.
 type reportingCounts struct {
 	reporting     int
+	delegated     int // of reporting, those that a heartbeat proxy hears instead
 	neverReported int
 	overdue       int // of neverReported, those that should have by now
 }
@@ -132,6 +136,9 @@
 			case m.removed:
 			case m.hasReported():
 				counts.reporting++
+				if n.records.DelegatedMachines[s.index][m.lease.Machine] {
+					counts.delegated++
+				}
 			default:
 				counts.neverReported++
 				if settled {
--- /dev/null
+++ b/internal/coordination/isolation_behind_cut_test.go
@@ -0,0 +1,53 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"reedtrack/internal/clusterstate"
+	"reedtrack/internal/storage"
+)
+
+// Guards against a holder that gives its session up during a cut between zones since the
+// few machines on its side are silent for a moment: its jobs then stand still until the
+// cut is over. It still steps down if that lasts, or if it should hear many.
+func TestFewSilentMachinesBesideDelegatedOnes(t *testing.T) {
+	const (
+		machinesPerZone = 4
+		step            = 500 * time.Millisecond // of the loop that detects failures
+	)
+	for _, c := range []struct {
+		name      string
+		delegated int // of the eight machines
+		silence   time.Duration
+		stepsDown bool
+	}{
+		{"a lost heartbeat of two machines", 6, 9 * time.Second, false},
+		{"two machines silent for long", 6, 13 * time.Second, true},
+		{"four machines silent", 4, 5 * time.Second, true},
+		{"all machines delegated", 8, 5 * time.Second, true},
+		{"none delegated", 0, 5 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n, s, _, report := detectionShard(machinesPerZone)
+			now := time.Now()
+			n.records.Controllers["n1"] = clusterstate.Entry[storage.Controller]{}
+			n.records.Controllers["n2"] = clusterstate.Entry[storage.Controller]{}
+			names := append(machineNames(0, machinesPerZone), machineNames(1, machinesPerZone)...)
+			report(now, names...)
+			delegated := map[string]bool{}
+			for _, name := range names[len(names)-c.delegated:] {
+				delegated[name] = true
+			}
+			n.records.DelegatedMachines[s.index] = delegated
+			steppedDown := n.stepDownIfIsolated(now)
+			for end := now.Add(c.silence); now.Before(end) && !steppedDown; {
+				now = now.Add(step)
+				steppedDown = n.stepDownIfIsolated(now)
+			}
+			if steppedDown != c.stepsDown {
+				t.Errorf("steps down %v", steppedDown)
+			}
+		})
+	}
+}
--- a/internal/failuredetector/isolation.go
+++ b/internal/failuredetector/isolation.go
@@ -76,6 +76,13 @@
 // Silence returns for how long no worker has been heard.
 func (d *IsolationDetector) Silence() time.Duration { return d.silence }
 
+// MayBeCoincidence reports whether the silence may be one of a few machines that lost a
+// heartbeat. expected is how many machines have reported here and are not delegated to a
+// heartbeat proxy, which hears them instead.
+func (d *IsolationDetector) MayBeCoincidence(expected int) bool {
+	return expected > 0 && expected < minMassLoss && d.silence <= d.timing.FewSilentAfter()
+}
+
 // ShouldStepDown reports whether the controller should let others have its
 // machines. heard and unheard count the machines that have sent it a heartbeat
 // since it acquired them and those that have not; overdue are those of unheard
--- a/internal/failuredetector/isolation_test.go
+++ b/internal/failuredetector/isolation_test.go
@@ -110,3 +110,19 @@
 		t.Error("a relay does not count after a direct heartbeat")
 	}
 }
+
+// Guards against a step-down because one or two machines, all that report here during a
+// cut, have lost a heartbeat; and against none at all.
+func TestFewSilentMachinesMayBeCoincidence(t *testing.T) {
+	d := newTestDetector()
+	d.RecordHeartbeat()
+	d.run(testTiming.UnreachableAfter())
+	for expected, want := range map[int]bool{0: false, 1: true, minMassLoss - 1: true, minMassLoss: false} {
+		if d.MayBeCoincidence(expected) != want {
+			t.Errorf("%d machines expected: coincidence %v", expected, !want)
+		}
+	}
+	if d.run(testTiming.FewSilentAfter()); d.MayBeCoincidence(1) {
+		t.Error("silence that lasts is still a coincidence")
+	}
+}
--- a/internal/failuredetector/timing.go
+++ b/internal/failuredetector/timing.go
@@ -18,6 +18,11 @@
 // another controller after 5 s at the latest, which sends it back.
 func (t Timing) UnreachableAfter() time.Duration { return t.HeartbeatInterval * 5 / 2 }
 
+// FewSilentAfter returns the silence of a few machines that is no coincidence. A worker
+// whose heartbeat got lost waits 4 s, and tries the controllers that it can't reach,
+// before it is heard again: until then it may have missed two heartbeats.
+func (t Timing) FewSilentAfter() time.Duration { return t.HeartbeatInterval * 4 }
+
 // ReopenDelay returns how long a controller that has stepped down opens no
 // session. The leader gives a shard to the live controller that has least: one
 // that were back at once, and still isolated, would be preferred for what the
