Relays: sender, holder's side and messages in files of their own; simulated links too

No behaviour changes but one: a heartbeat that lists more tasks than a holder takes from a relay is redirected at once, not relayed to be refused. heartbeat_relay.go is the sender's side, relayed_heartbeat.go the holder's, peer_message.go what controllers send each other.

--- a/internal/coordination/heartbeat_relay.go
+++ b/internal/coordination/heartbeat_relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"log/slog"
 	"time"
 
@@ -28,44 +27,8 @@
 	// maxRelayedMachines is how many machines are remembered as relayed. Beyond that
 	// workers are redirected.
 	maxRelayedMachines = 4096
-	// maxRelayedTasks is how many tasks a relayed heartbeat may list.
-	maxRelayedTasks = 4096
-	// relayHops is how often a relayed heartbeat has been relayed: it goes to the holder
-	// or nowhere.
-	relayHops = 1
-	// maxLoggedRefusals bounds the refusals that are logged.
-	maxLoggedRefusals = 64
 )
 
-// PeerMessage is what a controller sends to another: its status, or a heartbeat that
-// it relays. The status has the form in which former versions send it.
-type PeerMessage struct {
-	Status
-	Heartbeat *RelayedHeartbeat `cbor:"Heartbeat,omitempty"` // from storage.SchemaHeartbeatRelays on
-}
-
-// PeerReply answers a PeerMessage in kind.
-type PeerReply struct {
-	StatusReply
-	Heartbeat *RelayedAnswer `cbor:"Heartbeat,omitempty"`
-}
-
-// RelayedHeartbeat is a worker's heartbeat that a controller relays to the holder of
-// the machine's shard.
-type RelayedHeartbeat struct {
-	From    string             `cbor:"From"`    // the controller that relays
-	Session uint64             `cbor:"Session"` // its session
-	Hops    int                `cbor:"Hops"`    // how often the heartbeat has been relayed
-	Report  protocol.Heartbeat `cbor:"Report"`
-}
-
-// RelayedAnswer is the holder's answer to a RelayedHeartbeat; see HeartbeatAnswer.
-type RelayedAnswer struct {
-	Status     int                        `cbor:"Status"`
-	Response   protocol.HeartbeatResponse `cbor:"Response"`
-	RedirectTo string                     `cbor:"RedirectTo,omitempty"`
-}
-
 // heartbeatRelay is the state of relaying heartbeats, and of receiving relayed ones.
 type heartbeatRelay struct {
 	disabled       bool                  // set by tests: workers are redirected
@@ -111,13 +74,16 @@
 }
 
 // newRelayCall returns the call that relays a heartbeat to the holder, or nil if the
-// worker is to be redirected: the holder is not reachable, or the machine's last
-// heartbeat was relayed too.
+// worker is to be redirected: the holder is not reachable, the machine's last
+// heartbeat was relayed too, or this one is larger than a holder takes.
 func (n *Node) newRelayCall(report *protocol.Heartbeat, holder string, now time.Time) *relayCall {
 	peer := n.peers[holder]
 	if peer == nil || n.heartbeatRelay.disabled || !n.records.HeartbeatRelaysEnabled() || !n.heartbeatProxy.isReachable(holder, now) {
 		return nil
 	}
+	if len(report.Tasks) > maxRelayedTasks {
+		return nil
+	}
 	interval := time.Duration(relayIntervalFactor * n.settings.Deployment.Workers.ReportS * float64(time.Second))
 	if !n.heartbeatRelay.begin(report.Machine, interval, now) {
 		return nil
@@ -145,74 +111,3 @@
 	answer := reply.Heartbeat
 	return HeartbeatAnswer{Status: answer.Status, Response: answer.Response, RedirectTo: answer.RedirectTo, RelayedTo: c.holder}, nil
 }
-
-// relayRefusal is why a relayed heartbeat is refused.
-type relayRefusal struct {
-	from   string // the controller that relayed it
-	reason string
-}
-
-// Error names the controller and the reason.
-func (e relayRefusal) Error() string {
-	return fmt.Sprintf("heartbeat relayed by %s: %s", e.from, e.reason)
-}
-
-// checkRelayed returns an error for a relayed heartbeat that must not be looked at.
-func (n *Node) checkRelayed(relayed *RelayedHeartbeat) error {
-	past := n.session.past[relayed.From]
-	switch {
-	case n.peers[relayed.From] == nil:
-		return relayRefusal{relayed.From, "unknown controller"}
-	case past != nil && past.IsExpired(relayed.Session):
-		return relayRefusal{relayed.From, "too old: its session has ended"}
-	case relayed.Hops != relayHops:
-		return relayRefusal{relayed.From, "relayed before"}
-	case len(relayed.Report.Tasks) > maxRelayedTasks:
-		return relayRefusal{relayed.From, "too large"}
-	}
-	return relayed.Report.Validate()
-}
-
-// ReceiveMessage answers what another controller sends.
-func (n *Node) ReceiveMessage(message PeerMessage) PeerReply {
-	if message.Heartbeat == nil {
-		return PeerReply{StatusReply: n.ReceiveStatus(message.Status)}
-	}
-	answer := n.receiveRelayed(message.Heartbeat)
-	return PeerReply{Heartbeat: &RelayedAnswer{Status: answer.Status, Response: answer.Response, RedirectTo: answer.RedirectTo}}
-}
-
-// receiveRelayed answers a relayed heartbeat as the holder of its shard.
-func (n *Node) receiveRelayed(relayed *RelayedHeartbeat) HeartbeatAnswer {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if err := n.checkRelayed(relayed); err != nil {
-		n.logRelayRefusal(relayed.From, err)
-		return unavailableAnswer
-	}
-	n.failureDetector.isolation.RecordRelayedHeartbeat()
-	now := n.now()
-	if !n.holdsLease(now) {
-		return unavailableAnswer
-	}
-	shardIndex, granted := n.records.ShardOfMachine[relayed.Report.Machine]
-	if !granted {
-		return unavailableAnswer
-	}
-	if s := n.shards[shardIndex]; s != nil {
-		return n.answerAsHolder(s, &relayed.Report, now)
-	}
-	return n.redirect(n.records.Shards[shardIndex].Value.Holder.Name)
-}
-
-// logRelayRefusal logs that a controller's relayed heartbeat is refused, once for
-// each reason.
-func (n *Node) logRelayRefusal(from string, err error) {
-	refusal := relayRefusal{from, "invalid"}
-	errors.As(err, &refusal)
-	logged := n.heartbeatRelay.loggedRefusals
-	if !logged[refusal] && len(logged) < maxLoggedRefusals {
-		logged[refusal] = true
-		slog.Warn("relayed heartbeat refused", "err", err)
-	}
-}
--- a/internal/coordination/heartbeat_relay_test.go
+++ b/internal/coordination/heartbeat_relay_test.go
@@ -146,6 +146,12 @@
 	if p.peer.calls != 0 {
 		t.Error("a form is sent that the holder may not know")
 	}
+	p = newRelayPair(t, storage.SchemaHeartbeatRelays)
+	large := p.heartbeat(2)
+	large.Tasks = make([]protocol.TaskStatus, maxRelayedTasks+1)
+	if checkRedirect(t, "a large heartbeat", p.relay.Heartbeat(large)); p.peer.calls != 0 {
+		t.Error("what the holder refuses is sent")
+	}
 }
 
 // Guards against answers without a right to give them: the holder's lease has passed, or
--- /dev/null
+++ b/internal/coordination/peer_message.go
@@ -0,0 +1,23 @@
+package coordination
+
+// PeerMessage is what a controller sends to another: its status, or a heartbeat that
+// it relays. The status has the form in which former versions send it.
+type PeerMessage struct {
+	Status
+	Heartbeat *RelayedHeartbeat `cbor:"Heartbeat,omitempty"` // from storage.SchemaHeartbeatRelays on
+}
+
+// PeerReply answers a PeerMessage in kind.
+type PeerReply struct {
+	StatusReply
+	Heartbeat *RelayedAnswer `cbor:"Heartbeat,omitempty"`
+}
+
+// ReceiveMessage answers what another controller sends.
+func (n *Node) ReceiveMessage(message PeerMessage) PeerReply {
+	if message.Heartbeat == nil {
+		return PeerReply{StatusReply: n.ReceiveStatus(message.Status)}
+	}
+	answer := n.receiveRelayed(message.Heartbeat)
+	return PeerReply{Heartbeat: &RelayedAnswer{Status: answer.Status, Response: answer.Response, RedirectTo: answer.RedirectTo}}
+}
--- /dev/null
+++ b/internal/coordination/relayed_heartbeat.go
@@ -0,0 +1,99 @@
+package coordination
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"reedtrack/internal/protocol"
+)
+
+// The holder's side of heartbeat_relay.go.
+
+const (
+	// maxRelayedTasks is how many tasks a relayed heartbeat may list.
+	maxRelayedTasks = 4096
+	// relayHops is how often a relayed heartbeat has been relayed: it goes to the holder
+	// or nowhere.
+	relayHops = 1
+	// maxLoggedRefusals bounds the refusals that are logged.
+	maxLoggedRefusals = 64
+)
+
+// RelayedHeartbeat is a worker's heartbeat that a controller relays to the holder of
+// the machine's shard.
+type RelayedHeartbeat struct {
+	From    string             `cbor:"From"`    // the controller that relays
+	Session uint64             `cbor:"Session"` // its session
+	Hops    int                `cbor:"Hops"`    // how often the heartbeat has been relayed
+	Report  protocol.Heartbeat `cbor:"Report"`
+}
+
+// RelayedAnswer is the holder's answer to a RelayedHeartbeat; see HeartbeatAnswer.
+type RelayedAnswer struct {
+	Status     int                        `cbor:"Status"`
+	Response   protocol.HeartbeatResponse `cbor:"Response"`
+	RedirectTo string                     `cbor:"RedirectTo,omitempty"`
+}
+
+// relayRefusal is why a relayed heartbeat is refused.
+type relayRefusal struct {
+	from   string // the controller that relayed it
+	reason string
+}
+
+// Error names the controller and the reason.
+func (e relayRefusal) Error() string {
+	return fmt.Sprintf("heartbeat relayed by %s: %s", e.from, e.reason)
+}
+
+// checkRelayed returns an error for a relayed heartbeat that must not be looked at.
+func (n *Node) checkRelayed(relayed *RelayedHeartbeat) error {
+	past := n.session.past[relayed.From]
+	switch {
+	case n.peers[relayed.From] == nil:
+		return relayRefusal{relayed.From, "unknown controller"}
+	case past != nil && past.IsExpired(relayed.Session):
+		return relayRefusal{relayed.From, "too old: its session has ended"}
+	case relayed.Hops != relayHops:
+		return relayRefusal{relayed.From, "relayed before"}
+	case len(relayed.Report.Tasks) > maxRelayedTasks:
+		return relayRefusal{relayed.From, "too large"}
+	}
+	return relayed.Report.Validate()
+}
+
+// receiveRelayed answers a relayed heartbeat as the holder of its shard.
+func (n *Node) receiveRelayed(relayed *RelayedHeartbeat) HeartbeatAnswer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.checkRelayed(relayed); err != nil {
+		n.logRelayRefusal(relayed.From, err)
+		return unavailableAnswer
+	}
+	n.failureDetector.isolation.RecordRelayedHeartbeat()
+	now := n.now()
+	if !n.holdsLease(now) {
+		return unavailableAnswer
+	}
+	shardIndex, granted := n.records.ShardOfMachine[relayed.Report.Machine]
+	if !granted {
+		return unavailableAnswer
+	}
+	if s := n.shards[shardIndex]; s != nil {
+		return n.answerAsHolder(s, &relayed.Report, now)
+	}
+	return n.redirect(n.records.Shards[shardIndex].Value.Holder.Name)
+}
+
+// logRelayRefusal logs that a controller's relayed heartbeat is refused, once for
+// each reason.
+func (n *Node) logRelayRefusal(from string, err error) {
+	refusal := relayRefusal{from, "invalid"}
+	errors.As(err, &refusal)
+	logged := n.heartbeatRelay.loggedRefusals
+	if !logged[refusal] && len(logged) < maxLoggedRefusals {
+		logged[refusal] = true
+		slog.Warn("relayed heartbeat refused", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/coordination/sim_links_test.go
@@ -0,0 +1,88 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"reedtrack/internal/protocol"
+)
+
+// reaches tells whether workers of a zone and a controller reach each other.
+func (w *world) reaches(zone string, n *simNode) bool {
+	return !n.cutFromWorkers && (w.isolatedZone == "" || n.inIsolatedZone == (zone == w.isolatedZone)) && (!w.zonesSeparated || n.zone == "" || n.zone == zone)
+}
+
+// pauseLeft is how much longer a paused controller neither sends nor receives.
+func (w *world) pauseLeft(i int) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if d := time.Until(w.nodes[i].pausedUntil); d > 0 {
+		return d
+	}
+	return 0
+}
+
+// storeLatency is how much longer the store takes for a request: now and then
+// seconds.
+func (w *world) storeLatency() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.storeDelay == 0 {
+		return 0
+	}
+	if w.random.IntN(4) == 0 {
+		w.recordEventLocked("the state service takes seconds")
+		return w.storeDelay + time.Duration(w.random.Int64N(int64(w.storeDelay)))
+	}
+	return w.storeDelay / 8
+}
+
+// heartbeatLatency is how much longer a heartbeat or its answer takes.
+func (w *world) heartbeatLatency() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.heartbeatDelay == 0 {
+		return 0
+	}
+	w.recordEventLocked("a slow link")
+	return time.Duration(w.random.Int64N(int64(w.heartbeatDelay)))
+}
+
+// copyHeartbeat makes a copy of a heartbeat that arrives later; the world's
+// lock is held.
+func (w *world) copyHeartbeat(r *protocol.Heartbeat, to int) {
+	if w.random.Float64() >= w.heartbeatCopyRate {
+		return
+	}
+	c := *r
+	c.Tasks = slices.Clone(r.Tasks)
+	if w.disabledGuards.order {
+		c.Sequence += 1 << 30
+	}
+	if w.disabledGuards.term {
+		c.FencingToken = 1 << 60
+	}
+	if w.copiesForNextLeader {
+		w.keptHeartbeats = append(w.keptHeartbeats, &c)
+		return
+	}
+	after := 2*time.Second + time.Duration(w.random.IntN(30000))*time.Millisecond
+	w.spawn(func() {
+		time.Sleep(after)
+		if n := w.node(to); n != nil && w.ctx.Err() == nil {
+			status := n.Heartbeat(&c).Status
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.recordEventLocked("copy of a report")
+			if after.Seconds() > w.settings.Deployment.Workers.LeaseS {
+				w.recordEventLocked("copy of a report, a lease later")
+			}
+			if m := w.workers[c.Machine]; m != nil && m.session > c.Session {
+				w.recordEventLocked("copy of a report of an earlier session")
+			}
+			if status == 200 {
+				w.recordEventLocked("copy of a report answered")
+			}
+		}
+	})
+}
