--- a/internal/coordination/sim_world_test.go
+++ b/internal/coordination/sim_world_test.go
@@ -460,13 +460,16 @@
 		for k, s := range n.shards {
 			shares += fmt.Sprintf(" shard %d reconciled %v shares %v record %v uses %v wants %v unreported %v smallest task %v startable %v;", k, s.reconciled, s.shares, n.records.Grants[k].Value.Quotas, s.used, s.desired, s.unreportedCapacity(), s.smallestTask, s.startable)
 			for id, j := range s.jobs {
+				if j.pendingTasks() > 0 {
+					shares += fmt.Sprintf(" %s of %s waits with %d tasks of %g cores for %q since %s;", id, j.spec.Team, j.pendingTasks(), j.spec.Cores, j.waitReason, j.unplacedSince.Format(time.TimeOnly))
+				}
 				text := fmt.Sprintf("shard %d, %s %g cores, %d of %d done, %d waiting, unconfirmed %v blocked %v migrating %v to %d, failed on %v retry after %v, %d booting, requests %v:", k, j.spec.Team, j.spec.Cores,
 					j.done.Len(), j.spec.Tasks, j.pendingTasks(), j.unconfirmed, j.blocked, j.migrating, j.migrationTarget, j.failedOn, j.retryAfter.Format(time.TimeOnly), s.bootingCount(), s.scaleOut)
 				for t, r := range j.attempts {
 					text += fmt.Sprintf(" %d on %s %s start %+v stopping %v,", t, r.machine.lease.Machine, r.status, r.start, r.stopRequested)
 				}
 				for _, m := range s.sortedMachines() {
-					text += fmt.Sprintf(" %s %v uses %v reconciled %v expired %v orphans %v runs unreadable job %v schedulable %v;", m.lease.Machine, m.kind(), m.used, m.isReconciled(), m.isExpired(), m.orphans, m.runsUnreadableJob, m.isSchedulable())
+					text += fmt.Sprintf(" %s %v uses %v reconciled %v expired %v orphans %v runs unreadable job %v schedulable %v starts that may arrive %v;", m.lease.Machine, m.kind(), m.used, m.isReconciled(), m.isExpired(), m.orphans, m.runsUnreadableJob, m.isSchedulable(), slices.Collect(m.exchange.UnansweredTasks()))
 				}
 				why[id] = text
 			}
