--- a/internal/coordination/lost_answers_test.go
+++ b/internal/coordination/lost_answers_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -20,25 +21,31 @@
 // the attempts that lost answers leave.
 func TestLostAnswersInARowEndNoLease(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(seed, nil)
-			w.linkLoss = linkLoss{answersToLose: map[string]int{}}
-			w.settings.Deployment.Workers.LeaseS = lostRenewalsLease
-			w.adjustJob = inBothZones(100)
-			w.script = []fault{}
-			w.spawn(func() { time.Sleep(60 * sec); w.loseRenewals(lostRenewals) })
-			w.play(16, 150*sec, 700*sec)
-			w.check(t)
-			if lost := keptLeases(w); lost != "" {
-				t.Errorf("seed %d: %s\n%s", seed, lost, strings.Join(w.leaseEnds, "\n"))
-			}
-			if len(w.events["a heartbeat is answered by a relay"]) == 0 {
-				t.Error("no heartbeat was relayed")
-			}
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { checkLostRenewals(t, seed) })
 		})
 	}
 }
 
+// checkLostRenewals plays a world in which one worker loses answers in a row.
+func checkLostRenewals(t *testing.T, seed uint64) {
+	w := newWorld(seed, nil)
+	w.linkLoss = linkLoss{answersToLose: map[string]int{}}
+	w.settings.Deployment.Workers.LeaseS = lostRenewalsLease
+	w.adjustJob = inBothZones(100)
+	w.script = []fault{}
+	w.spawn(func() { time.Sleep(60 * sec); w.loseRenewals(lostRenewals) })
+	w.play(16, 150*sec, 700*sec)
+	w.check(t)
+	if lost := keptLeases(w); lost != "" {
+		t.Errorf("seed %d: %s\n%s", seed, lost, strings.Join(w.leaseEnds, "\n"))
+	}
+	if len(w.events["a heartbeat is answered by a relay"]) == 0 {
+		t.Error("no heartbeat was relayed")
+	}
+}
+
 // loseRenewals has the worker with the most tasks lose so many answers that would renew
 // its lease.
 func (w *world) loseRenewals(count int) {
