No heartbeat is relayed while holder or relay is short of processor time

A worker gives a busy holder up after 4 s; a relay then is work for two busy controllers where a redirect is work for one. With most of its processor share in use at either, the worker is redirected as before relays. The new test fails without the condition.

--- a/internal/coordination/heartbeat.go
+++ b/internal/coordination/heartbeat.go
@@ -56,7 +56,7 @@
 		return HeartbeatAnswer{Status: http.StatusOK, Response: response}, nil
 	}
 	holder := n.records.Shards[shardIndex].Value.Holder.Name
-	return n.redirect(holder), n.newRelayCall(report, holder, now)
+	return n.redirect(holder), n.newRelayCall(report, shardIndex, now)
 }
 
 // answerUngranted answers a machine that belongs to no shard. The leader, which
--- a/internal/coordination/heartbeat_relay.go
+++ b/internal/coordination/heartbeat_relay.go
@@ -75,13 +75,15 @@
 
 // newRelayCall returns the call that relays a heartbeat to the holder, or nil if the
 // worker is to be redirected: the holder is not reachable, the machine's last
-// heartbeat was relayed too, or this one is larger than a holder takes.
-func (n *Node) newRelayCall(report *protocol.Heartbeat, holder string, now time.Time) *relayCall {
+// heartbeat was relayed too, this one is larger than a holder takes, or a processor is
+// short: a worker that gave a busy holder up would cost both a relay more.
+func (n *Node) newRelayCall(report *protocol.Heartbeat, shardIndex int, now time.Time) *relayCall {
+	holder := n.records.Shards[shardIndex].Value.Holder.Name
 	peer := n.peers[holder]
 	if peer == nil || n.heartbeatRelay.disabled || !n.records.HeartbeatRelaysEnabled() || !n.heartbeatProxy.isReachable(holder, now) {
 		return nil
 	}
-	if len(report.Tasks) > maxRelayedTasks {
+	if len(report.Tasks) > maxRelayedTasks || n.isHolderOverloaded(shardIndex) || n.cpuMeter.utilization > maxUtilization {
 		return nil
 	}
 	interval := time.Duration(relayIntervalFactor * n.settings.Deployment.Workers.ReportS * float64(time.Second))
--- a/internal/coordination/heartbeat_relay_test.go
+++ b/internal/coordination/heartbeat_relay_test.go
@@ -154,6 +154,20 @@
 	}
 }
 
+// Guards against relays that cost a busy controller more than a redirect.
+func TestHeartbeatIsRedirectedIfProcessorIsShort(t *testing.T) {
+	for name, overload := range map[string]func(*Node){
+		"holder": func(relay *Node) { relay.peerStatus["n0"] = &Status{From: "n0", Utilization: 0.9} },
+		"relay":  func(relay *Node) { relay.cpuMeter.utilization = 0.9 },
+	} {
+		p := newRelayPair(t, storage.SchemaHeartbeatRelays)
+		overload(p.relay)
+		if checkRedirect(t, name, p.relay.Heartbeat(p.heartbeat(2))); p.peer.calls != 0 {
+			t.Errorf("%s: a heartbeat is relayed", name)
+		}
+	}
+}
+
 // Guards against answers without a right to give them: the holder's lease has passed, or
 // another controller holds the shard.
 func TestRelayedHeartbeatNeedsHolder(t *testing.T) {
