Relayed heartbeats: the answer has one type; relayed machines are forgotten in time

Machines that were relayed are forgotten an interval later, not only once 4096 are remembered, and the interval is the failure detector's own.

--- a/internal/coordination/heartbeat.go
+++ b/internal/coordination/heartbeat.go
@@ -8,12 +8,12 @@
 )
 
 // HeartbeatAnswer is the answer to a worker's heartbeat. Only one with status 200
-// renews the worker's lease.
+// renews the worker's lease. It is also sent between controllers, in a PeerReply.
 type HeartbeatAnswer struct {
-	Status     int                        // http.StatusOK, StatusMisdirectedRequest or StatusServiceUnavailable
-	Response   protocol.HeartbeatResponse // with http.StatusOK: what the worker is to do
-	RedirectTo string                     // with http.StatusMisdirectedRequest: the controller to report to; empty: unknown
-	RelayedTo  string                     // the holder whose answer this is; empty: this controller's own
+	Status     int                        `cbor:"Status"`               // http.StatusOK, StatusMisdirectedRequest or StatusServiceUnavailable
+	Response   protocol.HeartbeatResponse `cbor:"Response"`             // with http.StatusOK: what the worker is to do
+	RedirectTo string                     `cbor:"RedirectTo,omitempty"` // with http.StatusMisdirectedRequest: the controller to report to; empty: unknown
+	RelayedTo  string                     `cbor:"-"`                    // the holder whose answer this is; empty: this controller's own
 }
 
 // unavailableAnswer is the answer of a controller that can't decide what the
@@ -55,8 +55,7 @@
 	if response, ok := n.answerForHolder(report, shardIndex, now); ok {
 		return HeartbeatAnswer{Status: http.StatusOK, Response: response}, nil
 	}
-	holder := n.records.Shards[shardIndex].Value.Holder.Name
-	return n.redirect(holder), n.newRelayCall(report, shardIndex, now)
+	return n.redirect(n.records.Shards[shardIndex].Value.Holder.Name), n.newRelayCall(report, shardIndex, now)
 }
 
 // answerUngranted answers a machine that belongs to no shard. The leader, which
--- a/internal/coordination/heartbeat_relay.go
+++ b/internal/coordination/heartbeat_relay.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
 	"time"
 
 	"reedtrack/internal/protocol"
@@ -20,10 +21,6 @@
 	// relayTimeout is how long a relay waits for the holder. A worker waits 4 s, and
 	// is to be redirected in time if the holder does not answer.
 	relayTimeout = time.Second
-	// relayIntervalFactor is the least time between two relayed heartbeats of a
-	// machine, in heartbeat intervals: longer than from one heartbeat to the next, so
-	// that a worker which was answered by a relay is then sent to its holder.
-	relayIntervalFactor = 1.5
 	// maxRelayedMachines is how many machines are remembered as relayed. Beyond that
 	// workers are redirected.
 	maxRelayedMachines = 4096
@@ -33,6 +30,7 @@
 type heartbeatRelay struct {
 	disabled       bool                  // set by tests: workers are redirected
 	relayedAt      map[string]time.Time  // when a heartbeat of each machine was last relayed
+	forgottenAt    time.Time             // when machines were last forgotten
 	loggedRefusals map[relayRefusal]bool // refusals of relayed heartbeats that were logged
 }
 
@@ -44,12 +42,13 @@
 // begin records that a machine's heartbeat is relayed now. It returns false if one
 // was a short time ago, or too many machines are remembered.
 func (r *heartbeatRelay) begin(machine string, interval time.Duration, now time.Time) bool {
+	if now.Sub(r.forgottenAt) >= interval {
+		r.forgetBefore(now.Add(-interval))
+		r.forgottenAt = now
+	}
 	if last, found := r.relayedAt[machine]; found && now.Sub(last) < interval {
 		return false
 	}
-	if len(r.relayedAt) >= maxRelayedMachines {
-		r.forgetBefore(now.Add(-interval))
-	}
 	if len(r.relayedAt) >= maxRelayedMachines {
 		return false
 	}
@@ -59,11 +58,7 @@
 
 // forgetBefore forgets the machines whose last relayed heartbeat was before a time.
 func (r *heartbeatRelay) forgetBefore(limit time.Time) {
-	for machine, at := range r.relayedAt {
-		if at.Before(limit) {
-			delete(r.relayedAt, machine)
-		}
-	}
+	maps.DeleteFunc(r.relayedAt, func(_ string, at time.Time) bool { return at.Before(limit) })
 }
 
 // relayCall is a call that relays one heartbeat.
@@ -86,7 +81,9 @@
 	if len(report.Tasks) > maxRelayedTasks || n.isHolderOverloaded(shardIndex) || n.cpuMeter.utilization > maxUtilization {
 		return nil
 	}
-	interval := time.Duration(relayIntervalFactor * n.settings.Deployment.Workers.ReportS * float64(time.Second))
+	// Longer than from one heartbeat to the next: a worker that was answered by a relay
+	// is then sent to its holder.
+	interval := n.failureDetector.timing.SuspectAfter()
 	if !n.heartbeatRelay.begin(report.Machine, interval, now) {
 		return nil
 	}
@@ -110,6 +107,7 @@
 		return HeartbeatAnswer{}, err
 	}
 	transport.HeartbeatRelays.WithLabelValues("answered").Inc()
-	answer := reply.Heartbeat
-	return HeartbeatAnswer{Status: answer.Status, Response: answer.Response, RedirectTo: answer.RedirectTo, RelayedTo: c.holder}, nil
+	answer := *reply.Heartbeat
+	answer.RelayedTo = c.holder
+	return answer, nil
 }
--- a/internal/coordination/peer_message.go
+++ b/internal/coordination/peer_message.go
@@ -10,7 +10,7 @@
 // PeerReply answers a PeerMessage in kind.
 type PeerReply struct {
 	StatusReply
-	Heartbeat *RelayedAnswer `cbor:"Heartbeat,omitempty"`
+	Heartbeat *HeartbeatAnswer `cbor:"Heartbeat,omitempty"`
 }
 
 // ReceiveMessage answers what another controller sends.
@@ -19,5 +19,5 @@
 		return PeerReply{StatusReply: n.ReceiveStatus(message.Status)}
 	}
 	answer := n.receiveRelayed(message.Heartbeat)
-	return PeerReply{Heartbeat: &RelayedAnswer{Status: answer.Status, Response: answer.Response, RedirectTo: answer.RedirectTo}}
+	return PeerReply{Heartbeat: &answer}
 }
--- a/internal/coordination/relayed_heartbeat.go
+++ b/internal/coordination/relayed_heartbeat.go
@@ -29,13 +29,6 @@
 	Report  protocol.Heartbeat `cbor:"Report"`
 }
 
-// RelayedAnswer is the holder's answer to a RelayedHeartbeat; see HeartbeatAnswer.
-type RelayedAnswer struct {
-	Status     int                        `cbor:"Status"`
-	Response   protocol.HeartbeatResponse `cbor:"Response"`
-	RedirectTo string                     `cbor:"RedirectTo,omitempty"`
-}
-
 // relayRefusal is why a relayed heartbeat is refused.
 type relayRefusal struct {
 	from   string // the controller that relayed it
