A delegation that is written late, after its cut, is removed again

What callers would see: two zones reach each other again, and some machines get no direct starts any more and are never taken for lost when they die: their tasks wait for good, until the proxy's process ends.

Cause: the first write of a delegation without an answer is conditional on no record being there. The repeated one is carried out, the cut ends, the record is removed, the proxy forgets the delegation - and the first is carried out, since again no record is there. Only delegations that the proxy remembers are looked at.

Mend: a record of this controller's own is looked at whether or not its delegation is remembered, so it is removed by the next write. Evidence: TestLateDelegationIsRemoved fails before and passes after.

--- a/internal/coordination/delegations.go
+++ b/internal/coordination/delegations.go
@@ -39,8 +39,8 @@
 	for i := range n.records.Shards {
 		unreachable := n.isHolderUnreachable(i, now)
 		delegation := proxy.delegations[i]
-		if delegation == nil && !unreachable {
-			continue
+		if delegation == nil && !unreachable && len(n.ownDelegationRecords(i)) == 0 {
+			continue // a record that a late write has left is removed
 		}
 		if delegation == nil {
 			delegation = heartbeatproxy.New(proxy.timing)
