--- a/internal/coordination/delegation_fences_test.go
+++ b/internal/coordination/delegation_fences_test.go
@@ -37,7 +37,7 @@
 }
 
 // put applies a record to a controller's copy.
-func put(t *testing.T, n *Node, key string, value any, revision uint64) {
+func put(t testing.TB, n *Node, key string, value any, revision uint64) {
 	t.Helper()
 	raw, err := json.Marshal(value)
 	if err != nil {
--- a/internal/coordination/delegation_writes_test.go
+++ b/internal/coordination/delegation_writes_test.go
@@ -11,7 +11,7 @@
 
 // proxyNode returns a controller in zone b that a machine of shard 0 may be delegated to;
 // the shard's holder is out of reach.
-func proxyNode(t *testing.T) *Node {
+func proxyNode(t testing.TB) *Node {
 	t.Helper()
 	settings := *newWorld(1, nil).settings
 	settings.HostName, settings.Location = "n1", "b"
--- /dev/null
+++ b/internal/coordination/heartbeat_wait_test.go
@@ -0,0 +1,65 @@
+package coordination
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// zoneHeartbeat returns a heartbeat of the machine of proxyNode.
+func zoneHeartbeat(sequence uint64) *protocol.Heartbeat {
+	return &protocol.Heartbeat{Machine: "a", Address: "a:1", MachineType: "small", Zone: "b", Session: 1, Sequence: sequence, FencingToken: 2}
+}
+
+// delegate has the records show a delegation of the machine and, if acknowledged, its
+// acknowledgement by the shard's holder.
+func delegate(t *testing.T, n *Node, id storage.DelegationID, acknowledged bool) {
+	t.Helper()
+	put(t, n, storage.DelegationKey(id), storage.Delegation{Session: 5, FencingToken: 1, Machines: []string{"a"}}, 20)
+	if acknowledged {
+		put(t, n, storage.DelegationAckKey(id), storage.DelegationAck{DelegationRevision: 20, Session: 4, FencingToken: 1, Machines: []string{"a"}}, 21)
+	}
+}
+
+// refresh has the proxy's copy of the records be recent, and its delegations follow it.
+func (n *Node) refresh() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.records.SyncedAt = n.now()
+	n.updateDelegations(n.now())
+}
+
+// Guards against a worker that one controller of its zone sends to a holder out of reach
+// though another may answer it; no controller is named that may not, or is not known.
+func TestRedirectNamesAcknowledgedProxy(t *testing.T) {
+	for name, c := range map[string]struct {
+		proxy        string
+		acknowledged bool
+		reached      bool
+		redirect     string
+	}{
+		"acknowledged":     {"n2", true, true, "n2"},
+		"not acknowledged": {"n2", false, true, "n0"},
+		"out of reach":     {"n2", true, false, "n0"},
+		"unknown":          {"n7", true, true, "n0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := proxyNode(t)
+				n.heartbeatProxy.firstCalled["n2"] = n.now().Add(-time.Minute)
+				if c.reached {
+					n.heartbeatProxy.lastReached[c.proxy] = n.now().Add(time.Minute)
+				}
+				n.refresh()
+				delegate(t, n, storage.DelegationID{Shard: 0, Controller: c.proxy}, c.acknowledged)
+				if answer := n.Heartbeat(zoneHeartbeat(1)); answer.Status != http.StatusMisdirectedRequest || answer.RedirectTo != c.redirect {
+					t.Errorf("%+v", answer)
+				}
+			})
+		})
+	}
+}
