A proxy that may not answer redirects to another that may, not to a holder out of reach

What callers saw: behind a cut, a worker goes to and fro between a controller of its zone that is not acknowledged and the holder that is cut off, and never tries the other of its zone, which may answer.

Cause: whoever can't answer names the holder, also where it knows that it does not reach it.

TestRedirectNamesAcknowledgedProxy fails before and passes after; its other cases: one that is not acknowledged, out of reach or unknown is not named.

A redirect renews nothing, so no rule is touched (docs/safety.md, Redirects). No new form on the wire.

--- a/internal/coordination/heartbeat.go
+++ b/internal/coordination/heartbeat.go
@@ -55,7 +55,14 @@
 	if response, ok := n.answerForHolder(report, shardIndex, now); ok {
 		return HeartbeatAnswer{Status: http.StatusOK, Response: response}, nil
 	}
-	return n.redirect(n.records.Shards[shardIndex].Value.Holder.Name), n.newRelayCall(report, shardIndex, now)
+	holder := n.records.Shards[shardIndex].Value.Holder.Name
+	if n.peers[holder] == nil || n.heartbeatProxy.isReachable(holder, now) {
+		return n.redirect(holder), n.newRelayCall(report, shardIndex, now)
+	}
+	if proxy := n.otherProxy(report.Machine, shardIndex, now); proxy != "" {
+		return n.redirect(proxy), nil
+	}
+	return n.redirect(holder), nil
 }
 
 // answerUngranted answers a machine that belongs to no shard. The leader, which
