Tests: unanswered writes that delegate machines behind a cut, in a forced order, listed as failing

TestHeartbeatWaitsForAcknowledgement fails too: the worker is redirected to the holder out of reach.

--- a/internal/coordination/heartbeat_wait_test.go
+++ b/internal/coordination/heartbeat_wait_test.go
@@ -33,6 +33,41 @@
 	n.updateDelegations(n.now())
 }
 
+// Guards against a worker that is sent to a holder known to be out of reach while its lease
+// runs out, an instant before its proxy may answer.
+func TestHeartbeatWaitsForAcknowledgement(t *testing.T) {
+	for name, c := range map[string]struct {
+		after  time.Duration // the acknowledgement is shown so long after the heartbeat; 0: never
+		status int
+		took   time.Duration
+	}{
+		"acknowledged": {700 * time.Millisecond, http.StatusOK, 700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := proxyNode(t)
+				n.refresh()
+				delegate(t, n, testDelegation, false)
+				n.refresh()
+				if c.after > 0 {
+					time.AfterFunc(c.after, func() {
+						n.mu.Lock()
+						delegate(t, n, testDelegation, true)
+						n.mu.Unlock()
+						n.refresh()
+					})
+				}
+				sentAt := time.Now()
+				answer := n.Heartbeat(zoneHeartbeat(1))
+				if took := time.Since(sentAt); answer.Status != c.status || took != c.took {
+					t.Errorf("%+v after %v", answer, took)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // Guards against a worker that one controller of its zone sends to a holder out of reach
 // though another may answer it; no controller is named that may not, or is not known.
 func TestRedirectNamesAcknowledgedProxy(t *testing.T) {
--- a/internal/coordination/sim_store_link_test.go
+++ b/internal/coordination/sim_store_link_test.go
@@ -41,6 +41,42 @@
 	newestCommitted   uint64
 	previousVersion   bool   // plays a controller of the previous version: see hideNewKeys
 	lastOwnKeyTxn     []byte // the last transaction that wrote a controller's key
+	// decideFate lets a test decide what becomes of each transaction as it is sent;
+	// nil: chance does.
+	decideFate func(protocol.Txn) forcedFate
+}
+
+// forcedFate is what a test has decided of a transaction; the zero value leaves it to
+// chance.
+type forcedFate struct {
+	refused bool             // it is refused at once and not carried out
+	late    time.Duration    // over 0: it gets no answer and is carried out so much after it was sent
+	done    func(status int) // is told what the store said when it was carried out; may be nil
+}
+
+// report tells the test what the store said.
+func (f forcedFate) report(status int) {
+	if f.done != nil {
+		f.done(status)
+	}
+}
+
+// forcedFate asks the test for the fate of a request.
+func (w *simStoreLink) forcedFate(r *http.Request, body []byte) forcedFate {
+	w.mu.Lock()
+	decide := w.decideFate
+	w.mu.Unlock()
+	var txn protocol.Txn
+	if decide == nil || r.URL.Path != "/multi" || json.Unmarshal(body, &txn) != nil {
+		return forcedFate{}
+	}
+	return decide(txn)
+}
+
+// commitLate carries out a request that gets no answer.
+func (w *simStoreLink) commitLate(r *http.Request, body []byte, fate forcedFate) {
+	status, _ := w.s.Handle(context.Background(), r.Method, r.URL.Path, r.URL.Query(), body)
+	fate.report(status)
 }
 
 // cachedRead is what the store answered to a request.
@@ -118,6 +154,10 @@
 	}
 	number := w.sentTxns
 	w.mu.Unlock()
+	forced := w.forcedFate(r, body)
+	if forced.late > 0 {
+		time.AfterFunc(forced.late, func() { w.commitLate(r, body, forced) })
+	}
 	if w.latency != nil {
 		delay += w.latency()
 	}
@@ -137,7 +177,10 @@
 		for w.isRefusing() && ctx.Err() == nil {
 			sleep(ctx, 50*time.Millisecond)
 		}
-	case w.isRefusing():
+	case w.isRefusing() || forced.refused:
+	case forced.late > 0:
+		<-ctx.Done()
+		return nil, ctx.Err()
 	case w.previousVersion && bytes.Contains(body, []byte(storage.VersionMarkerKey(""))):
 	case r.URL.Path == "/multi" && fate < behind:
 		time.AfterFunc(2*time.Second+late/2, func() { w.commitUnanswered(r, body, number, "late write") })
@@ -161,6 +204,7 @@
 		status, answer = w.readMaybeStale(r)
 	default:
 		status, answer = w.s.Handle(ctx, r.Method, r.URL.Path, r.URL.Query(), body)
+		forced.report(status)
 		if r.URL.Path == "/multi" && status == 200 {
 			w.mu.Lock()
 			w.newestCommitted = max(w.newestCommitted, number)
