Delegations and acknowledgements have a loop of their own, and are sent again after 0.4 s

Cause: a machine is answered once its delegation and then its acknowledgement are written. One loop sent them one after the other, between the writes of jobs, grants and migrations, and an unanswered one was given up after 2 s and only then sent again. A controller that is proxy for one shard and holder of another held up both sides with each.

Mend: a loop of their own; all that is due goes out side by side; a write without an answer is sent again after 0.4 s on the same preconditions, eight times, then every 2 s, and a repeated one only from the half of the burst that can wait. Connections of their own, given up after 1 s like a lease renewal. What is known to be carried out is not sent again before the copy of the records shows it. docs/safety.md, Copies of a write, has the argument; the model of heartbeatproxy plays copies, and finds a copy of a removal that is sent without its preconditions (TestModelFindsCopyWithoutPreconditions).

Operators: reedtrack_delegation_acknowledgement_seconds, delegation acknowledged.

--- a/internal/coordination/delegation_acks.go
+++ b/internal/coordination/delegation_acks.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,7 +34,8 @@
 func (n *Node) acknowledgementTxns() []protocol.Txn {
 	var txns []protocol.Txn
 	canMint := n.records.MachineFencesEnabled()
-	for id, record := range n.records.Delegations {
+	for _, id := range sortedDelegations(n.records.Delegations) {
+		record := n.records.Delegations[id]
 		s := n.shards[id.Shard]
 		if s == nil || record.Value.FencingToken != s.fencingToken {
 			continue
@@ -54,6 +57,14 @@
 	return txns
 }
 
+// sortedDelegations returns the IDs of delegations in an order that stays the same, so that
+// a write that is due twice is the same one.
+func sortedDelegations(delegations map[storage.DelegationID]clusterstate.Entry[storage.Delegation]) []storage.DelegationID {
+	return slices.SortedFunc(maps.Keys(delegations), func(a, b storage.DelegationID) int {
+		return cmp.Or(cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Controller, b.Controller), cmp.Compare(a.Record, b.Record))
+	})
+}
+
 // acknowledgementTxn returns the write that acknowledges a delegation of machines
 // of a shard, conditional on the shard, on the delegation and on the last
 // acknowledgement; not due if there is nothing new to acknowledge. If canMint, it
--- /dev/null
+++ b/internal/coordination/delegation_writes.go
@@ -0,0 +1,136 @@
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"reedtrack/internal/protocol"
+)
+
+// A worker whose holder can't be reached is not answered before its delegation and then
+// the acknowledgement are written, while its lease runs out. So no other write goes before
+// these, none of them waits for another, and one that is not answered is sent again on the
+// same preconditions long before it is given up: whichever copy is carried out first makes
+// the others fail. docs/safety.md has the argument.
+
+const (
+	// delegationRepeatInterval is how long a write may go without an answer before it
+	// is sent again.
+	delegationRepeatInterval = 400 * time.Millisecond
+	// maxQuickRepeats is how often a write is sent again so soon.
+	maxQuickRepeats = 8
+	// delegationRetryInterval is the time between two copies after that.
+	delegationRetryInterval = 2 * time.Second
+)
+
+// sentTxns are the transactions of delegations and acknowledgements that were sent a
+// short time ago, by the first key that each of them writes.
+type sentTxns map[string]*sentTxn
+
+// sentTxn is what is known of the copies of a transaction.
+type sentTxn struct {
+	preconditions []protocol.Precondition
+	lastSentAt    time.Time
+	repeats       int    // copies that were sent after the first
+	revision      uint64 // at which one was carried out; 0: none is known to be
+}
+
+// nextAt returns when the transaction may be sent again.
+func (s *sentTxn) nextAt() time.Time {
+	if s.repeats < maxQuickRepeats && s.revision == 0 {
+		return s.lastSentAt.Add(delegationRepeatInterval)
+	}
+	return s.lastSentAt.Add(delegationRetryInterval)
+}
+
+// begin records that a transaction is sent now, and returns what is known of its copies.
+// It returns nil if the transaction has to wait: a copy was sent a short time ago, or is
+// known to be carried out and not shown yet by the copy of the records.
+func (s sentTxns) begin(txn protocol.Txn, now time.Time) *sentTxn {
+	sent := s[firstKey(txn)]
+	if sent == nil || !slices.Equal(sent.preconditions, txn.Preconditions) {
+		sent = &sentTxn{preconditions: txn.Preconditions, lastSentAt: now}
+		s[firstKey(txn)] = sent
+		return sent
+	}
+	if now.Before(sent.nextAt()) {
+		return nil
+	}
+	sent.lastSentAt = now
+	sent.repeats++
+	return sent
+}
+
+// forgetOld forgets the transactions that have not been sent for a while.
+func (s sentTxns) forgetOld(now time.Time) {
+	maps.DeleteFunc(s, func(_ string, sent *sentTxn) bool {
+		return now.Sub(sent.lastSentAt) > 2*delegationRetryInterval
+	})
+}
+
+// dueDelegationTxn is a transaction that is to be sent, with what is known of its copies.
+type dueDelegationTxn struct {
+	protocol.Txn
+	sent    *sentTxn
+	repeats bool // a copy was sent before
+}
+
+// firstKey returns the first key that a transaction writes.
+func firstKey(txn protocol.Txn) string { return txn.Writes[0].Put + txn.Writes[0].Delete }
+
+// delegationLoop writes the delegations of this controller as a proxy and its
+// acknowledgements as a holder, all side by side.
+func (n *Node) delegationLoop(ctx context.Context) {
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	tick := func(ctx context.Context) time.Duration {
+		start := time.Now()
+		for _, due := range n.dueDelegationTxns() {
+			sending.Go(func() { n.sendDelegationTxn(ctx, due) })
+		}
+		return time.Since(start)
+	}
+	wakeable(n.wake.delegations, tick)(ctx)
+}
+
+// dueDelegationTxns returns the transactions of both sides that are to be sent now.
+func (n *Node) dueDelegationTxns() []dueDelegationTxn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	if !n.holdsLease(now) || !n.records.HeartbeatProxiesEnabled() {
+		return nil
+	}
+	sentTxns := n.heartbeatProxy.sentTxns
+	sentTxns.forgetOld(now)
+	var due []dueDelegationTxn
+	for _, txn := range append(n.acknowledgementTxns(), n.delegationTxns(now)...) {
+		if sent := sentTxns.begin(txn, now); sent != nil {
+			due = append(due, dueDelegationTxn{Txn: txn, sent: sent, repeats: sent.repeats > 0})
+		}
+	}
+	return due
+}
+
+// sendDelegationTxn sends one copy of a transaction. What fails is sent again as the
+// records then show it.
+func (n *Node) sendDelegationTxn(ctx context.Context, due dueDelegationTxn) {
+	repeat := time.AfterFunc(delegationRepeatInterval, func() { signal(n.wake.delegations) })
+	send := n.store.TxnForWorkerLease
+	if due.repeats {
+		send = n.store.RepeatForWorkerLease
+	}
+	revision, err := send(ctx, due.Txn)
+	slog.Debug("delegations written", "key", firstKey(due.Txn), "writes", len(due.Writes), "repeats", due.repeats, "err", err)
+	if err != nil {
+		return
+	}
+	repeat.Stop()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	due.sent.revision = revision
+}
--- a/internal/coordination/delegations.go
+++ b/internal/coordination/delegations.go
@@ -10,6 +10,7 @@
 	"reedtrack/internal/heartbeatproxy"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
+	"reedtrack/internal/transport"
 )
 
 // Delegations are what a controller writes as a heartbeat proxy: the machines
@@ -48,14 +49,30 @@
 		}
 		if !unreachable {
 			delegation.Deactivate()
-		} else if !delegation.IsActive() {
+		} else if unreachable && !delegation.IsActive() {
 			delegation.Activate(n.machinesInOwnZone(i), now)
+			signal(n.wake.delegations)
 		}
-		delegation.ObserveRecords(n.ownDelegated(i), now)
+		n.observeDelegation(i, now)
 		n.logAnswering(i, delegation)
 	}
 }
 
+// observeDelegation tells a delegation what the records show, which it returns, and
+// measures how long machines waited for their acknowledgement.
+func (n *Node) observeDelegation(shardIndex int, now time.Time) map[string]heartbeatproxy.Record {
+	delegated := n.ownDelegated(shardIndex)
+	delays := n.heartbeatProxy.delegations[shardIndex].ObserveRecords(delegated, now)
+	if len(delays) == 0 {
+		return delegated
+	}
+	for _, delay := range delays {
+		transport.AcknowledgementSeconds.Observe(delay.Seconds())
+	}
+	slog.Info("delegation acknowledged", "shard", shardIndex, "machine_count", len(delays), "longest_wait_s", slices.Max(delays).Seconds())
+	return delegated
+}
+
 // isHolderUnreachable reports whether a shard's holder is another controller
 // whose session is open, and which this one can't reach.
 func (n *Node) isHolderUnreachable(shardIndex int, now time.Time) bool {
@@ -129,8 +146,7 @@
 	var txns []protocol.Txn
 	proxy := &n.heartbeatProxy
 	for _, shardIndex := range slices.Sorted(maps.Keys(proxy.delegations)) {
-		delegation, delegated := proxy.delegations[shardIndex], n.ownDelegated(shardIndex)
-		delegation.ObserveRecords(delegated, now)
+		delegation, delegated := proxy.delegations[shardIndex], n.observeDelegation(shardIndex, now)
 		desired := n.stillGranted(shardIndex, delegation.Desired(now))
 		records := n.ownDelegationRecords(shardIndex)
 		if !delegation.NeedsWrite(desired, delegated) && (len(desired) > 0 || len(records) == 0) {
--- a/internal/coordination/heartbeat_proxy.go
+++ b/internal/coordination/heartbeat_proxy.go
@@ -1,8 +1,6 @@
 package coordination
 
 import (
-	"context"
-	"log/slog"
 	"time"
 
 	"reedtrack/internal/config"
@@ -20,6 +18,7 @@
 	firstCalled       map[string]time.Time               // when the first call to each was due
 	loggedAnswering   map[int]bool                       // shards for which it was logged that this controller answers
 	loggedFenceErrors map[string]bool                    // invalid fences that were logged
+	sentTxns          sentTxns                           // writes of delegations and acknowledgements, as both sides
 	ignoreDelegated   bool                               // set by tests: delegated machines count as silent
 	acknowledgeAlways bool                               // set by tests: the holder acknowledges whatever is in flight
 	timing            heartbeatproxy.Timing
@@ -44,6 +43,7 @@
 		firstCalled:       map[string]time.Time{},
 		loggedAnswering:   map[int]bool{},
 		loggedFenceErrors: map[string]bool{},
+		sentTxns:          sentTxns{},
 		timing:            heartbeatproxy.Timing{DelegationTimeout: delegationTimeout, WorkerExpiry: t.WorkerTimeout},
 	}
 }
@@ -60,26 +60,6 @@
 	return now.Sub(last) < unreachableAfter
 }
 
-// writeDelegations writes the delegations of this controller as a proxy and its
-// acknowledgements as a holder. What fails is written again as the records then
-// show it.
-func (n *Node) writeDelegations(ctx context.Context) {
-	for _, txn := range n.delegationWrites() {
-		_, err := n.store.TxnByDeadline(ctx, txn)
-		slog.Debug("delegations written", "writes", len(txn.Writes), "err", err)
-	}
-}
-
-// delegationWrites returns the transactions of both sides that are due.
-func (n *Node) delegationWrites() []protocol.Txn {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.holdsLease(n.now()) || !n.records.HeartbeatProxiesEnabled() {
-		return nil
-	}
-	return append(n.acknowledgementTxns(), n.delegationTxns(n.now())...)
-}
-
 // answerForHolder answers a heartbeat in place of a holder that can't be
 // reached: it renews the worker's lease and stops tasks of cancelled jobs, and
 // starts nothing. That is safe once the store has the machine's delegation and
--- a/internal/coordination/loops.go
+++ b/internal/coordination/loops.go
@@ -40,6 +40,7 @@
 		wakeable(n.wake.write, n.writeTick),             // writes the shards' records; every loopPeriod
 		wakeable(n.wake.leader, n.leaderTick),           // stands for leader, grants as the leader; every loopPeriod
 		wakeable(n.wake.dependencies, n.dependencyTick), // reads ends, cancels dependents; every loopPeriod
+		n.delegationLoop,                                // writes delegations and acknowledgements, each on its own; every loopPeriod
 	}
 	if n.latency != nil {
 		loops = append(loops, n.logLatencyLoop) // logs summaries; five times per LatencyLogInterval
@@ -66,6 +67,7 @@
 	write        chan struct{}
 	leader       chan struct{}
 	dependencies chan struct{}
+	delegations  chan struct{}
 	lease        chan struct{}
 }
 
@@ -77,14 +79,16 @@
 		write:        make(chan struct{}, 1),
 		leader:       make(chan struct{}, 1),
 		dependencies: make(chan struct{}, 1),
+		delegations:  make(chan struct{}, 1),
 		lease:        make(chan struct{}, 1),
 	}
 }
 
-// wakeLoops wakes the loops that plan, write and lead.
+// wakeLoops wakes the loops that plan, write, delegate and lead.
 func (n *Node) wakeLoops() {
 	signal(n.wake.plan)
 	signal(n.wake.write)
+	signal(n.wake.delegations)
 	signal(n.wake.leader)
 }
 
@@ -234,7 +238,6 @@
 		return 0
 	}
 	n.advanceSchema(ctx)
-	n.writeDelegations(ctx)
 	n.writeJobs(ctx)
 	n.writeGrants(ctx)
 	n.migrateJobs(ctx)
--- a/internal/heartbeatproxy/delegation.go
+++ b/internal/heartbeatproxy/delegation.go
@@ -100,14 +100,20 @@
 	m.request(now)
 }
 
-// ObserveRecords records what the key-value store shows, by machine.
-func (d *Delegation) ObserveRecords(records map[string]Record, now time.Time) {
+// ObserveRecords records what the key-value store shows, by machine. It returns, of each
+// machine that may be answered from now on, how long that took since it became desired.
+func (d *Delegation) ObserveRecords(records map[string]Record, now time.Time) (delays []time.Duration) {
 	for name := range records {
 		d.getOrAdd(name)
 	}
 	for name, m := range d.machines {
+		could := m.canAnswer()
 		m.observe(records[name], now)
+		if d.active && m.canAnswer() && !could {
+			delays = append(delays, now.Sub(m.desiredSince))
+		}
 	}
+	return delays
 }
 
 // Desired returns the sorted names of the machines that the records should list.
--- a/internal/heartbeatproxy/delegation_test.go
+++ b/internal/heartbeatproxy/delegation_test.go
@@ -71,6 +71,23 @@
 	}
 }
 
+// A write is sent again before it is given up: the order of events in which a copy of a
+// removal would do harm, were it not sent on the preconditions of the first.
+func TestModelFindsCopyWithoutPreconditions(t *testing.T) {
+	delegate := []string{"holder copy updated", "send acknowledgement", "newest write executed", "proxy copy updated"}
+	events := slices.Concat([]string{"activate", "send record", "write executed"}, delegate,
+		[]string{"deactivate", "send record", "write repeated", "write executed", "proxy copy updated"},
+		[]string{"activate", "send record", "newest write executed"}, delegate,
+		[]string{"tick", "write executed", "holder copy updated", "tick", "tick", "heartbeat, response"},
+		slices.Repeat([]string{"tick"}, modelWorkerLease))
+	if violation := playEvents(omissions{}, events); violation != "" {
+		t.Error("with the preconditions:", violation)
+	}
+	if playEvents(omissions{copyConditions: true}, events) == "" {
+		t.Error("no violation found without the preconditions")
+	}
+}
+
 // checkDesired checks which machines a delegation wants to have listed.
 func checkDesired(t *testing.T, d *Delegation, now time.Time, want ...string) {
 	t.Helper()
--- a/internal/heartbeatproxy/model_test.go
+++ b/internal/heartbeatproxy/model_test.go
@@ -42,6 +42,7 @@
 	acknowledgement bool   // by the holder
 	fence           Fence  // with it
 	token           uint64 // the newest fencing token as the holder knows it
+	unconditional   bool   // it has no precondition
 }
 
 // omissions are the safeguards that a test leaves out.
@@ -53,6 +54,14 @@
 	noStarts        bool // nothing is sent straight to the worker
 	holderUnasked   bool // a relay answers without the holder's answer
 	responseTimeout bool // the worker takes a relayed response that it has given up
+	copyConditions  bool // a copy of a write has no preconditions
+}
+
+// keptHeartbeat is a heartbeat that the proxy keeps until it may answer.
+type keptHeartbeat struct {
+	sequence uint64 // 0: none is kept
+	sentAt   int
+	lists    bool // the second task is on the worker
 }
 
 // relayedHeartbeat is a heartbeat that a relay has sent to the holder.
@@ -96,6 +105,7 @@
 	startToken            uint64 // under which it was sent last
 
 	delegation *Delegation
+	kept       keptHeartbeat // by the proxy
 
 	leaseExpiresAt int            // the worker's
 	workerToken    uint64         // the newest that it has seen
@@ -242,12 +252,20 @@
 	w.history = append(w.history, next)
 }
 
+// repeatWrite has a write that is under way sent once more.
+func (w *proxyModel) repeatWrite(i int) {
+	repeated := w.writes[i]
+	repeated.unconditional = w.omitted.copyConditions
+	w.writes = append(w.writes, repeated)
+}
+
 // executeWrite carries a write out, if the record is still as it was read.
 func (w *proxyModel) executeWrite(i int) {
 	write := w.writes[i]
 	w.writes = slices.Delete(w.writes, i, i+1)
 	next := w.history[len(w.history)-1]
-	if next.revision != write.precondition || write.acknowledgement && next.token != write.token {
+	isCurrent := next.revision == write.precondition && (!write.acknowledgement || next.token == write.token)
+	if !isCurrent && !write.unconditional {
 		return
 	}
 	w.revision++
@@ -329,18 +347,31 @@
 func (w *proxyModel) sendHeartbeat() {
 	w.beginHeartbeat()
 	w.delegation.RecordHeartbeat(modelMachine, w.time())
-	if !w.isRunning() || !w.delegation.CanAnswer(modelMachine) {
+	if !w.isRunning() {
+		return
+	}
+	w.kept = keptHeartbeat{w.sequence, w.now, w.startRuns}
+	w.answerKept()
+}
+
+// answerKept has the proxy answer the heartbeat that it keeps, if it may.
+func (w *proxyModel) answerKept() {
+	if w.kept.sequence == 0 || !w.delegation.CanAnswer(modelMachine) {
 		return
 	}
+	heartbeat := w.kept
+	w.kept = keptHeartbeat{}
 	fence := w.delegation.Fence(modelMachine)
-	response := workerResponse{sentAt: w.now, token: max(modelFirstToken, fence.Token)}
+	response := workerResponse{sentAt: heartbeat.sentAt, token: max(modelFirstToken, fence.Token)}
 	if w.omitted.oldToken {
 		response.token = modelFirstToken
 	}
 	if w.recordsAt(w.proxyCopy).cancelled {
-		response.stops = w.startRuns || len(fence.Starts) > 0
+		response.stops = heartbeat.lists || len(fence.Starts) > 0
+	}
+	if heartbeat.sequence == w.sequence {
+		w.response = response // otherwise the worker has given it up
 	}
-	w.response = response
 }
 
 // responseArrives has the worker receive the proxy's response.
@@ -396,24 +427,36 @@
 // writes that are under way.
 func (w *proxyModel) events(pick func(count int) int) map[string]func() {
 	return map[string]func(){
-		"tick":                 w.tick,
-		"heartbeat":            w.sendHeartbeat,
-		"heartbeat, response":  func() { w.sendHeartbeat(); w.responseArrives() },
-		"response arrives":     w.responseArrives,
-		"send record":          w.sendRecord,
-		"send acknowledgement": w.sendAcknowledgement,
-		"send start":           w.sendStart,
-		"start arrives":        w.startArrives,
-		"cancel":               w.cancel,
-		"activate":             func() { w.delegation.Activate([]string{modelMachine}, w.time()) },
-		"deactivate":           func() { w.delegation.Deactivate() },
-		"holder copy updated":  func() { w.holderCopy = w.now },
-		"proxy copy updated":   func() { w.proxyCopy = w.now; w.observeRecords() },
+		"tick":                    w.tick,
+		"heartbeat":               w.sendHeartbeat,
+		"heartbeat, response":     func() { w.sendHeartbeat(); w.responseArrives() },
+		"response arrives":        w.responseArrives,
+		"kept answered":           w.answerKept,
+		"kept answered, response": func() { w.answerKept(); w.responseArrives() },
+		"send record":             w.sendRecord,
+		"send acknowledgement":    w.sendAcknowledgement,
+		"send start":              w.sendStart,
+		"start arrives":           w.startArrives,
+		"cancel":                  w.cancel,
+		"activate":                func() { w.delegation.Activate([]string{modelMachine}, w.time()) },
+		"deactivate":              func() { w.delegation.Deactivate() },
+		"holder copy updated":     func() { w.holderCopy = w.now },
+		"proxy copy updated":      func() { w.proxyCopy = w.now; w.observeRecords() },
 		"write executed": func() {
 			if len(w.writes) > 0 {
 				w.executeWrite(pick(len(w.writes)))
 			}
 		},
+		"newest write executed": func() {
+			if len(w.writes) > 0 {
+				w.executeWrite(len(w.writes) - 1)
+			}
+		},
+		"write repeated": func() {
+			if len(w.writes) > 0 {
+				w.repeatWrite(pick(len(w.writes)))
+			}
+		},
 		"holder answers":  w.answerAsHolder,
 		"relay heartbeat": w.relayHeartbeat,
 		"relayed heartbeat arrives": func() {
@@ -454,6 +497,8 @@
 		"send record", "send record",
 		"send acknowledgement", "send acknowledgement",
 		"write executed", "write executed",
+		"write repeated",
+		"kept answered", "kept answered, response",
 		"activate", "deactivate",
 		"send start", "start arrives",
 		"cancel",
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -14,20 +14,23 @@
 	watchTimeout   = time.Minute
 	leaseTimeout   = time.Second
 
-	requestConns = 8
-	watchConns   = 2
-	leaseConns   = 2
+	requestConns     = 8
+	watchConns       = 2
+	leaseConns       = 2
+	workerLeaseConns = 8
 )
 
-// Client talks to the key-value store. Requests that serve leases, and watches, use
-// connections of their own and bypass the budget, so that other work never costs a
-// lease. It is safe for concurrent use.
+// Client talks to the key-value store. Requests that serve the controller's lease, and
+// watches, use connections of their own and bypass the budget, so that other work never
+// costs a lease. Transactions that workers' leases wait for use connections of their own
+// too, but keep to the budget. It is safe for concurrent use.
 type Client struct {
-	baseURL     string
-	httpClient  *transport.Client
-	watchClient *transport.Client
-	leaseClient *transport.Client
-	budget      *rateBudget
+	baseURL           string
+	httpClient        *transport.Client
+	watchClient       *transport.Client
+	leaseClient       *transport.Client
+	workerLeaseClient *transport.Client
+	budget            *rateBudget
 
 	rateLog   rate.Sometimes
 	rejectLog rate.Sometimes
@@ -41,6 +44,7 @@
 	c.httpClient = transport.NewClient(requestConns, requestTimeout)
 	c.watchClient = transport.NewClient(watchConns, watchTimeout)
 	c.leaseClient = transport.NewClient(leaseConns, leaseTimeout)
+	c.workerLeaseClient = transport.NewClient(workerLeaseConns, leaseTimeout)
 	return c
 }
 
@@ -50,6 +54,7 @@
 	c.httpClient = transport.NewClientWithTransport(roundTripper, requestTimeout)
 	c.watchClient = transport.NewClientWithTransport(roundTripper, watchTimeout)
 	c.leaseClient = transport.NewClientWithTransport(roundTripper, leaseTimeout)
+	c.workerLeaseClient = transport.NewClientWithTransport(roundTripper, leaseTimeout)
 	return c
 }
 
--- a/internal/storage/txn.go
+++ b/internal/storage/txn.go
@@ -29,7 +29,7 @@
 // Txn carries out a transaction within the budget and returns its revision. It does
 // not wait for budget: ErrBudgetExhausted is returned at once.
 func (c *Client) Txn(ctx context.Context, txn protocol.Txn) (uint64, error) {
-	return c.sendTxn(ctx, txn, reservation{})
+	return c.sendTxn(ctx, c.httpClient, txn, reservation{})
 }
 
 // TxnByDeadline is Txn for a user who waits for the answer: by a deadline a second from
@@ -37,10 +37,32 @@
 // for its rate. Such a refusal comes from a burst of several controllers, and the
 // transaction was not executed.
 func (c *Client) TxnByDeadline(ctx context.Context, txn protocol.Txn) (uint64, error) {
+	return c.sendTxnByDeadline(ctx, c.httpClient, txn)
+}
+
+// TxnForWorkerLease is TxnByDeadline for a transaction that workers' leases wait for. It
+// is given up as early as the renewal of a lease. After ErrUnknown it may be sent again at
+// once if its preconditions let it be carried out no more than once.
+func (c *Client) TxnForWorkerLease(ctx context.Context, txn protocol.Txn) (uint64, error) {
+	return c.sendTxnByDeadline(ctx, c.workerLeaseClient, txn)
+}
+
+// RepeatForWorkerLease sends a transaction of TxnForWorkerLease again. Half of the burst
+// stays reserved for other writes: ErrBudgetExhausted is returned at once if it would be
+// needed.
+func (c *Client) RepeatForWorkerLease(ctx context.Context, txn protocol.Txn) (uint64, error) {
+	if c.DeferrableWrites() < len(txn.Writes) {
+		return 0, ErrBudgetExhausted
+	}
+	return c.sendTxn(ctx, c.workerLeaseClient, txn, reservation{})
+}
+
+// sendTxnByDeadline sends a transaction through a client, see TxnByDeadline.
+func (c *Client) sendTxnByDeadline(ctx context.Context, client *transport.Client, txn protocol.Txn) (uint64, error) {
 	deadline := time.Now().Add(interactiveTimeout)
 	for {
 		remaining := time.Until(deadline)
-		revision, err := c.sendTxn(ctx, txn, reservation{maxWait: remaining, overdraft: true})
+		revision, err := c.sendTxn(ctx, client, txn, reservation{maxWait: remaining, overdraft: true})
 		if !errors.Is(err, ErrRateLimited) || remaining < retryInterval || ctx.Err() != nil {
 			return revision, err
 		}
@@ -48,8 +70,8 @@
 	}
 }
 
-// sendTxn takes the transaction's writes from the budget and sends it.
-func (c *Client) sendTxn(ctx context.Context, txn protocol.Txn, r reservation) (uint64, error) {
+// sendTxn takes the transaction's writes from the budget and sends it through a client.
+func (c *Client) sendTxn(ctx context.Context, client *transport.Client, txn protocol.Txn, r reservation) (uint64, error) {
 	if txn.Preconditions == nil {
 		txn.Preconditions = []protocol.Precondition{}
 	}
@@ -57,7 +79,7 @@
 	if err := c.budget.await(ctx, r); err != nil {
 		return 0, err
 	}
-	revision, err := c.postTxn(ctx, c.httpClient, txn)
+	revision, err := c.postTxn(ctx, client, txn)
 	if err != nil {
 		c.recordRefusal(txn, err)
 	}
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -40,6 +40,13 @@
 		Name: "reedtrack_heartbeat_relays_total",
 		Help: "Heartbeats relayed to the holder of the machine's shard, by outcome.",
 	}, []string{"outcome"})
+	// AcknowledgementSeconds is how long machines whose holder can't be reached waited for
+	// this controller to be allowed to answer them.
+	AcknowledgementSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "reedtrack_delegation_acknowledgement_seconds",
+		Help:    "Time from when a machine was to be delegated to this controller until its holder's acknowledgement was known.",
+		Buckets: []float64{.1, .25, .5, 1, 2, 4, 6, 10, 15},
+	})
 	// BlockedJobs is how many jobs of this controller's shards are blocked by a
 	// dependency.
 	BlockedJobs = prometheus.NewGauge(prometheus.GaugeOpts{
@@ -49,7 +56,7 @@
 )
 
 func init() {
-	prometheus.MustRegister(requestsTotal, requestSeconds, RecordSchemaVersion, UpgradedControllers, BlockedJobs, HeartbeatRelays)
+	prometheus.MustRegister(requestsTotal, requestSeconds, RecordSchemaVersion, UpgradedControllers, BlockedJobs, HeartbeatRelays, AcknowledgementSeconds)
 }
 
 // measure counts and times the requests of a kind.
