A proxy keeps a heartbeat until it may answer, instead of sending it to a holder out of reach

Cause: a proxy without the acknowledgement redirects to the holder that it knows to be out of reach.

Mend: it keeps the heartbeat for up to 2 s of the 4 s that a worker waits, and decides anew as soon as it may answer more machines; 4096 heartbeats at a time, else the redirect as before.

Evidence: TestHeartbeatWaitsForAcknowledgement fails before and passes after; TestHeartbeatDoesNotWaitInVain.

--- a/internal/coordination/delegations.go
+++ b/internal/coordination/delegations.go
@@ -47,8 +47,9 @@
 			delegation = heartbeatproxy.New(proxy.timing)
 			proxy.delegations[i] = delegation
 		}
-		if !unreachable {
+		if !unreachable && delegation.IsActive() {
 			delegation.Deactivate()
+			proxy.wakeWaitingHeartbeats()
 		} else if unreachable && !delegation.IsActive() {
 			delegation.Activate(n.machinesInOwnZone(i), now)
 			signal(n.wake.delegations)
@@ -58,8 +59,8 @@
 	}
 }
 
-// observeDelegation tells a delegation what the records show, which it returns, and
-// measures how long machines waited for their acknowledgement.
+// observeDelegation tells a delegation what the records show, which it returns. Heartbeats
+// that wait are woken if this controller may answer for more machines.
 func (n *Node) observeDelegation(shardIndex int, now time.Time) map[string]heartbeatproxy.Record {
 	delegated := n.ownDelegated(shardIndex)
 	delays := n.heartbeatProxy.delegations[shardIndex].ObserveRecords(delegated, now)
@@ -70,6 +71,7 @@
 		transport.AcknowledgementSeconds.Observe(delay.Seconds())
 	}
 	slog.Info("delegation acknowledged", "shard", shardIndex, "machine_count", len(delays), "longest_wait_s", slices.Max(delays).Seconds())
+	n.heartbeatProxy.wakeWaitingHeartbeats()
 	return delegated
 }
 
--- a/internal/coordination/heartbeat.go
+++ b/internal/coordination/heartbeat.go
@@ -25,44 +25,61 @@
 // leader also takes note of machines that belong to no shard yet. All others
 // redirect the worker.
 func (n *Node) Heartbeat(report *protocol.Heartbeat) HeartbeatAnswer {
-	answer, relay := n.answerOrRelay(report)
-	if relay == nil {
+	n.recordArrival()
+	answer, better := n.answerNow(report)
+	if better.acknowledgement != nil {
+		answer, better = n.awaitAcknowledgement(report, better)
+	}
+	if better.relay == nil {
 		return answer
 	}
-	if relayed, err := relay.call(); err == nil {
+	if relayed, err := better.relay.call(); err == nil {
 		return relayed
 	}
 	return answer
 }
 
-// answerOrRelay returns this controller's answer to a worker's heartbeat, and a
-// relay if the holder's answer is to be asked for first.
-func (n *Node) answerOrRelay(report *protocol.Heartbeat) (HeartbeatAnswer, *relayCall) {
+// recordArrival records that a worker reaches this controller.
+func (n *Node) recordArrival() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.now()
 	n.failureDetector.isolation.RecordHeartbeat()
+}
+
+// betterAnswer is where a better answer than a redirect may come from; at most one of
+// its fields is set.
+type betterAnswer struct {
+	relay           *relayCall      // the holder
+	acknowledgement <-chan struct{} // this controller as a proxy, once that is closed
+}
+
+// answerNow returns this controller's answer to a worker's heartbeat as things stand,
+// and where a better one may come from.
+func (n *Node) answerNow(report *protocol.Heartbeat) (HeartbeatAnswer, betterAnswer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
 	if !n.holdsLease(now) {
-		return unavailableAnswer, nil
+		return unavailableAnswer, betterAnswer{}
 	}
 	shardIndex, granted := n.records.ShardOfMachine[report.Machine]
 	if !granted {
-		return n.answerUngranted(report, now), nil
+		return n.answerUngranted(report, now), betterAnswer{}
 	}
 	if s := n.shards[shardIndex]; s != nil {
-		return n.answerAsHolder(s, report, now), nil
+		return n.answerAsHolder(s, report, now), betterAnswer{}
 	}
 	if response, ok := n.answerForHolder(report, shardIndex, now); ok {
-		return HeartbeatAnswer{Status: http.StatusOK, Response: response}, nil
+		return HeartbeatAnswer{Status: http.StatusOK, Response: response}, betterAnswer{}
 	}
 	holder := n.records.Shards[shardIndex].Value.Holder.Name
 	if n.peers[holder] == nil || n.heartbeatProxy.isReachable(holder, now) {
-		return n.redirect(holder), n.newRelayCall(report, shardIndex, now)
+		return n.redirect(holder), betterAnswer{relay: n.newRelayCall(report, shardIndex, now)}
 	}
 	if proxy := n.otherProxy(report.Machine, shardIndex, now); proxy != "" {
-		return n.redirect(proxy), nil
+		return n.redirect(proxy), betterAnswer{}
 	}
-	return n.redirect(holder), nil
+	return n.redirect(holder), betterAnswer{acknowledgement: n.pendingAcknowledgement(report, shardIndex)}
 }
 
 // answerUngranted answers a machine that belongs to no shard. The leader, which
--- /dev/null
+++ b/internal/coordination/heartbeat_wait_bench_test.go
@@ -0,0 +1,52 @@
+package coordination
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
+)
+
+// zoneMachines is how many machines of a zone are cut off from their holder at once.
+const zoneMachines = 2000
+
+// BenchmarkKeptHeartbeatsOfZone measures what a proxy needs to keep a heartbeat of each
+// machine of a zone, and to answer them all as their acknowledgement comes.
+func BenchmarkKeptHeartbeatsOfZone(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		n := proxyNode(b)
+		leases, names := []storage.MachineLease{}, []string{}
+		for i := range zoneMachines {
+			name := fmt.Sprintf("host-%06d", i)
+			names = append(names, name)
+			leases = append(leases, storage.MachineLease{Machine: name, MachineType: "small", Zone: "b", FencingToken: 2})
+		}
+		put(b, n, storage.GrantKey(0), storage.Grant{Machines: leases}, 14)
+		put(b, n, storage.DelegationKey(testDelegation), storage.Delegation{Session: 5, FencingToken: 1, Machines: names}, 20)
+		n.refresh()
+		b.StartTimer()
+		var waiting sync.WaitGroup
+		for _, name := range names {
+			waiting.Go(func() {
+				report := &protocol.Heartbeat{Machine: name, Address: "x:1", MachineType: "small", Zone: "b", Session: 1, Sequence: 1, FencingToken: 2}
+				if answer := n.Heartbeat(report); answer.Status != http.StatusOK {
+					b.Errorf("%+v", answer)
+				}
+			})
+		}
+		for kept := 0; kept < zoneMachines; {
+			time.Sleep(time.Millisecond)
+			n.mu.Lock()
+			kept = n.heartbeatProxy.waitingHeartbeats
+			n.mu.Unlock()
+		}
+		put(b, n, storage.DelegationAckKey(testDelegation), storage.DelegationAck{DelegationRevision: 20, Session: 4, FencingToken: 1, Machines: names}, 21)
+		n.refresh()
+		waiting.Wait()
+	}
+}
--- a/internal/coordination/heartbeat_wait_test.go
+++ b/internal/coordination/heartbeat_wait_test.go
@@ -41,7 +41,9 @@
 		status int
 		took   time.Duration
 	}{
-		"acknowledged": {700 * time.Millisecond, http.StatusOK, 700 * time.Millisecond},
+		"acknowledged":  {700 * time.Millisecond, http.StatusOK, 700 * time.Millisecond},
+		"never":         {0, http.StatusMisdirectedRequest, acknowledgementWait},
+		"just too late": {acknowledgementWait + time.Millisecond, http.StatusMisdirectedRequest, acknowledgementWait},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -59,8 +61,8 @@
 				}
 				sentAt := time.Now()
 				answer := n.Heartbeat(zoneHeartbeat(1))
-				if took := time.Since(sentAt); answer.Status != c.status || took != c.took {
-					t.Errorf("%+v after %v", answer, took)
+				if took := time.Since(sentAt); answer.Status != c.status || took != c.took || n.heartbeatProxy.waitingHeartbeats != 0 {
+					t.Errorf("%+v after %v, %d waiting", answer, took, n.heartbeatProxy.waitingHeartbeats)
 				}
 				time.Sleep(time.Second)
 			})
@@ -68,6 +70,30 @@
 	}
 }
 
+// A heartbeat waits for nothing that can't come: no proxy of it is acknowledged where the
+// machine is left to its holder, the holder is in reach, or too many wait.
+func TestHeartbeatDoesNotWaitInVain(t *testing.T) {
+	for name, change := range map[string]func(n *Node){
+		"holder in reach": func(n *Node) { n.heartbeatProxy.lastReached["n0"] = n.now(); n.heartbeatRelay.disabled = true },
+		"another zone":    func(n *Node) { n.settings.Location = "a" },
+		"too many wait":   func(n *Node) { n.heartbeatProxy.waitingHeartbeats = maxWaitingHeartbeats },
+		"left to holder":  func(n *Node) { n.heartbeatProxy.delegations[0].Deactivate() },
+		"no lease":        func(n *Node) { n.session.leaseValidUntil = n.now() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := proxyNode(t)
+				n.refresh()
+				change(n)
+				sentAt := time.Now()
+				if answer := n.Heartbeat(zoneHeartbeat(1)); answer.Status == http.StatusOK || time.Since(sentAt) != 0 {
+					t.Errorf("%+v after %v", answer, time.Since(sentAt))
+				}
+			})
+		})
+	}
+}
+
 // Guards against a worker that one controller of its zone sends to a holder out of reach
 // though another may answer it; no controller is named that may not, or is not known.
 func TestRedirectNamesAcknowledgedProxy(t *testing.T) {
--- a/internal/heartbeatproxy/delegation.go
+++ b/internal/heartbeatproxy/delegation.go
@@ -166,6 +166,13 @@
 	return d.active && m != nil && m.canAnswer()
 }
 
+// AwaitsAcknowledgement reports whether a heartbeat of the machine may be answered as soon
+// as the records show that the holder has acknowledged it.
+func (d *Delegation) AwaitsAcknowledgement(name string) bool {
+	m := d.machines[name]
+	return d.active && m != nil && m.desired && !m.canAnswer()
+}
+
 // Fence returns the fence of a machine. Every response to one that has a fence
 // must carry its token, and stop those of its starts whose jobs have ended.
 func (d *Delegation) Fence(name string) Fence {
