Repeated delegations fall back to every 2 s without budget; no redirects to and fro; tests

Now a repeated one goes out after 0.4 s where the budget has that room, and every 2 s as before, also ahead of time, where not (TestUnansweredDelegationIsSentAgain). Two proxies that end their delegations no longer redirect a worker to each other. The wait that is reported counts from when a machine was last not acknowledged, not from the begin of the cut. Waiting for the lock no longer counts as processor time of the loop.

Tests for guards that could be taken out unnoticed: TestAcknowledgementNamesWhatItDependsOn, TestKeptHeartbeatIsDecidedAnew.

--- a/internal/coordination/delegation_writes.go
+++ b/internal/coordination/delegation_writes.go
@@ -12,18 +12,18 @@
 )
 
 // A worker whose holder can't be reached is not answered before its delegation and then
-// the acknowledgement are written, while its lease runs out. So no other write goes before
-// these, none of them waits for another, and one that is not answered is sent again on the
-// same preconditions long before it is given up: whichever copy is carried out first makes
-// the others fail. docs/safety.md has the argument.
+// the acknowledgement are written, while its lease runs out. So these writes wait neither
+// for the answers to others nor for one another, and one that is not answered is sent again
+// on the same preconditions long before it is given up: whichever copy is carried out first
+// makes the others fail. docs/safety.md has the argument.
 
 const (
 	// delegationRepeatInterval is how long a write may go without an answer before it
-	// is sent again.
+	// is sent again, if the write budget has room beside other writes.
 	delegationRepeatInterval = 400 * time.Millisecond
 	// maxQuickRepeats is how often a write is sent again so soon.
 	maxQuickRepeats = 8
-	// delegationRetryInterval is the time between two copies after that.
+	// delegationRetryInterval is the time between two copies otherwise.
 	delegationRetryInterval = 2 * time.Second
 )
 
@@ -39,9 +39,10 @@
 	revision      uint64 // at which one was carried out; 0: none is known to be
 }
 
-// nextAt returns when the transaction may be sent again.
-func (s *sentTxn) nextAt() time.Time {
-	if s.repeats < maxQuickRepeats && s.revision == 0 {
+// nextAt returns when the transaction may be sent again. hasBudget tells whether there is
+// room for it beside other writes.
+func (s *sentTxn) nextAt(hasBudget bool) time.Time {
+	if hasBudget && s.repeats < maxQuickRepeats && s.revision == 0 {
 		return s.lastSentAt.Add(delegationRepeatInterval)
 	}
 	return s.lastSentAt.Add(delegationRetryInterval)
@@ -49,15 +50,16 @@
 
 // begin records that a transaction is sent now, and returns what is known of its copies.
 // It returns nil if the transaction has to wait: a copy was sent a short time ago, or is
-// known to be carried out and not shown yet by the copy of the records.
-func (s sentTxns) begin(txn protocol.Txn, now time.Time) *sentTxn {
+// known to be carried out and not shown yet by the copy of the records. budget is how many
+// writes there is room for beside others.
+func (s sentTxns) begin(txn protocol.Txn, budget int, now time.Time) *sentTxn {
 	sent := s[firstKey(txn)]
 	if sent == nil || !slices.Equal(sent.preconditions, txn.Preconditions) {
 		sent = &sentTxn{preconditions: txn.Preconditions, lastSentAt: now}
 		s[firstKey(txn)] = sent
 		return sent
 	}
-	if now.Before(sent.nextAt()) {
+	if now.Before(sent.nextAt(budget >= len(txn.Writes))) {
 		return nil
 	}
 	sent.lastSentAt = now
@@ -75,8 +77,7 @@
 // dueDelegationTxn is a transaction that is to be sent, with what is known of its copies.
 type dueDelegationTxn struct {
 	protocol.Txn
-	sent    *sentTxn
-	repeats bool // a copy was sent before
+	sent *sentTxn
 }
 
 // firstKey returns the first key that a transaction writes.
@@ -88,44 +89,43 @@
 	var sending sync.WaitGroup
 	defer sending.Wait()
 	tick := func(ctx context.Context) time.Duration {
-		start := time.Now()
-		for _, due := range n.dueDelegationTxns() {
+		txns, took := n.dueDelegationTxns()
+		for _, due := range txns {
 			sending.Go(func() { n.sendDelegationTxn(ctx, due) })
 		}
-		return time.Since(start)
+		return took
 	}
 	wakeable(n.wake.delegations, tick)(ctx)
 }
 
-// dueDelegationTxns returns the transactions of both sides that are to be sent now.
-func (n *Node) dueDelegationTxns() []dueDelegationTxn {
+// dueDelegationTxns returns the transactions of both sides that are to be sent now, and how
+// long it had the processor.
+func (n *Node) dueDelegationTxns() (due []dueDelegationTxn, took time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	start := time.Now()
 	now := n.now()
 	if !n.holdsLease(now) || !n.records.HeartbeatProxiesEnabled() {
-		return nil
+		return nil, 0
 	}
 	sentTxns := n.heartbeatProxy.sentTxns
 	sentTxns.forgetOld(now)
-	var due []dueDelegationTxn
+	budget := n.store.DeferrableWrites()
 	for _, txn := range append(n.acknowledgementTxns(), n.delegationTxns(now)...) {
-		if sent := sentTxns.begin(txn, now); sent != nil {
-			due = append(due, dueDelegationTxn{Txn: txn, sent: sent, repeats: sent.repeats > 0})
+		if sent := sentTxns.begin(txn, budget, now); sent != nil {
+			due = append(due, dueDelegationTxn{Txn: txn, sent: sent})
+			budget -= len(txn.Writes)
 		}
 	}
-	return due
+	return due, time.Since(start)
 }
 
 // sendDelegationTxn sends one copy of a transaction. What fails is sent again as the
 // records then show it.
 func (n *Node) sendDelegationTxn(ctx context.Context, due dueDelegationTxn) {
 	repeat := time.AfterFunc(delegationRepeatInterval, func() { signal(n.wake.delegations) })
-	send := n.store.TxnForWorkerLease
-	if due.repeats {
-		send = n.store.RepeatForWorkerLease
-	}
-	revision, err := send(ctx, due.Txn)
-	slog.Debug("delegations written", "key", firstKey(due.Txn), "writes", len(due.Writes), "repeats", due.repeats, "err", err)
+	revision, err := n.store.TxnForWorkerLease(ctx, due.Txn)
+	slog.Debug("delegations written", "key", firstKey(due.Txn), "writes", len(due.Writes), "err", err)
 	if err != nil {
 		return
 	}
--- a/internal/coordination/delegation_writes_test.go
+++ b/internal/coordination/delegation_writes_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -40,3 +41,58 @@
 		t.Errorf("the delegation is not removed: %+v", txns)
 	}
 }
+
+// Guards against a proxy that answers in a new session from what the old one had: the
+// holder may have taken the machine for lost between the two.
+func TestNewSessionAnswersForNobody(t *testing.T) {
+	n := proxyNode(t)
+	n.refresh()
+	delegate(t, n, testDelegation, true)
+	n.refresh()
+	if answer := n.Heartbeat(zoneHeartbeat(1)); answer.Status != http.StatusOK {
+		t.Fatalf("%+v", answer)
+	}
+	for _, key := range []string{storage.DelegationKey(testDelegation), storage.DelegationAckKey(testDelegation)} {
+		n.records.Apply([]protocol.Change{{Delete: key, Revision: 30}})
+	}
+	n.replaceSession(9)
+	if answer := n.Heartbeat(zoneHeartbeat(2)); answer.Status == http.StatusOK {
+		t.Errorf("answered without a record: %+v", answer)
+	}
+}
+
+// A copy of an acknowledgement that comes late must fail: it names the revisions of the
+// shard, of the delegation and of the acknowledgement.
+func TestAcknowledgementNamesWhatItDependsOn(t *testing.T) {
+	n, s, _ := fencedHolder(t, storage.SchemaMachineFences)
+	s.revision = 8
+	for _, precondition := range []protocol.Precondition{
+		{Key: storage.ShardKey(0), Revision: 8},
+		{Key: storage.DelegationKey(testDelegation), Revision: 12},
+		{Key: storage.DelegationAckKey(testDelegation), Revision: 0},
+	} {
+		if txns := n.acknowledgementTxns(); len(txns) != 1 || !slices.Contains(txns[0].Preconditions, precondition) {
+			t.Errorf("%+v is missing in %+v", precondition, txns)
+		}
+	}
+}
+
+// Guards against a write that is never sent again since other writes use the budget up, and
+// against one that is sent too often.
+func TestUnansweredDelegationIsSentAgain(t *testing.T) {
+	txn := protocol.Txn{Preconditions: []protocol.Precondition{{Key: "k", Revision: 1}}, Writes: []protocol.Write{{Put: "k"}}}
+	for name, c := range map[string]struct {
+		budget int
+		copies int // within 6 s
+	}{"room for copies": {1, 1 + maxQuickRepeats + 1}, "no room": {0, 3}} {
+		sent, copies, start := sentTxns{}, 0, time.Now()
+		for after := time.Duration(0); after < 6*time.Second; after += 50 * time.Millisecond {
+			if sent.begin(txn, c.budget, start.Add(after)) != nil {
+				copies++
+			}
+		}
+		if copies != c.copies {
+			t.Errorf("%s: %d copies, want %d", name, copies, c.copies)
+		}
+	}
+}
--- a/internal/coordination/heartbeat_wait.go
+++ b/internal/coordination/heartbeat_wait.go
@@ -22,20 +22,25 @@
 	maxWaitingHeartbeats = 4096
 )
 
-// otherProxy returns a reachable controller that may answer for a machine in place of its
-// holder, or "".
+// otherProxy returns a reachable controller that the records show to answer for a machine
+// in place of its holder, or "". If they show this controller too, which does not answer,
+// there is none: two that end their delegations would redirect the worker to each other.
 func (n *Node) otherProxy(machine string, shardIndex int, now time.Time) string {
 	shardLease := n.records.Shards[shardIndex].Value
+	other := ""
 	for id, delegation := range n.records.Delegations {
-		if id.Shard != shardIndex || n.peers[id.Controller] == nil || !n.heartbeatProxy.isReachable(id.Controller, now) {
+		ack := n.records.DelegationAcks[id].Value
+		if id.Shard != shardIndex || !acknowledges(ack, delegation.Revision, shardLease) || !slices.Contains(ack.Machines, machine) {
 			continue
 		}
-		ack := n.records.DelegationAcks[id].Value
-		if acknowledges(ack, delegation.Revision, shardLease) && slices.Contains(ack.Machines, machine) {
-			return id.Controller
+		if id.Controller == n.settings.HostName {
+			return ""
+		}
+		if n.peers[id.Controller] != nil && n.heartbeatProxy.isReachable(id.Controller, now) {
+			other = id.Controller
 		}
 	}
-	return ""
+	return other
 }
 
 // pendingAcknowledgement returns a channel that is closed when this controller may answer
--- a/internal/coordination/heartbeat_wait_test.go
+++ b/internal/coordination/heartbeat_wait_test.go
@@ -70,6 +70,49 @@
 	}
 }
 
+// workerTimeout is how long a worker waits for an answer.
+const workerTimeout = 4 * time.Second
+
+// Guards against a heartbeat that is kept though what it waits for can't come any more, or
+// for longer than its worker waits.
+func TestKeptHeartbeatIsDecidedAnew(t *testing.T) {
+	if acknowledgementWait+relayTimeout >= workerTimeout {
+		t.Error("a kept heartbeat that is relayed afterwards is answered too late")
+	}
+	for name, c := range map[string]struct {
+		change func(n *Node)
+		status int
+		took   time.Duration
+	}{
+		"holder in reach again": {func(n *Node) { n.heartbeatProxy.lastReached["n0"] = n.now() }, http.StatusMisdirectedRequest, time.Second},
+		"lease lost":            {func(n *Node) { n.session.leaseValidUntil = n.now() }, http.StatusServiceUnavailable, acknowledgementWait},
+		"session over":          {func(n *Node) { n.replaceSession(0) }, http.StatusServiceUnavailable, time.Second},
+		"acknowledged, then lease lost": {func(n *Node) {
+			delegate(t, n, testDelegation, true)
+			n.session.leaseValidUntil = n.now()
+		}, http.StatusServiceUnavailable, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := proxyNode(t)
+				n.heartbeatRelay.disabled = true
+				delegate(t, n, testDelegation, false)
+				n.refresh()
+				time.AfterFunc(time.Second, func() {
+					n.mu.Lock()
+					c.change(n)
+					n.mu.Unlock()
+					n.refresh()
+				})
+				sentAt := time.Now()
+				if answer := n.Heartbeat(zoneHeartbeat(1)); answer.Status != c.status || time.Since(sentAt) != c.took {
+					t.Errorf("%+v after %v", answer, time.Since(sentAt))
+				}
+			})
+		})
+	}
+}
+
 // A heartbeat waits for nothing that can't come: no proxy of it is acknowledged where the
 // machine is left to its holder, the holder is in reach, or too many wait.
 func TestHeartbeatDoesNotWaitInVain(t *testing.T) {
--- a/internal/heartbeatproxy/delegation.go
+++ b/internal/heartbeatproxy/delegation.go
@@ -101,7 +101,8 @@
 }
 
 // ObserveRecords records what the key-value store shows, by machine. It returns, of each
-// machine that may be answered from now on, how long that took since it became desired.
+// machine that may be answered from now on, for how long it was desired and not
+// acknowledged.
 func (d *Delegation) ObserveRecords(records map[string]Record, now time.Time) (delays []time.Duration) {
 	for name := range records {
 		d.getOrAdd(name)
@@ -110,7 +111,7 @@
 		could := m.canAnswer()
 		m.observe(records[name], now)
 		if d.active && m.canAnswer() && !could {
-			delays = append(delays, now.Sub(m.desiredSince))
+			delays = append(delays, now.Sub(m.unacknowledgedSince))
 		}
 	}
 	return delays
--- a/internal/storage/txn.go
+++ b/internal/storage/txn.go
@@ -47,16 +47,6 @@
 	return c.sendTxnByDeadline(ctx, c.workerLeaseClient, txn)
 }
 
-// RepeatForWorkerLease sends a transaction of TxnForWorkerLease again. Half of the burst
-// stays reserved for other writes: ErrBudgetExhausted is returned at once if it would be
-// needed.
-func (c *Client) RepeatForWorkerLease(ctx context.Context, txn protocol.Txn) (uint64, error) {
-	if c.DeferrableWrites() < len(txn.Writes) {
-		return 0, ErrBudgetExhausted
-	}
-	return c.sendTxn(ctx, c.workerLeaseClient, txn, reservation{})
-}
-
 // sendTxnByDeadline sends a transaction through a client, see TxnByDeadline.
 func (c *Client) sendTxnByDeadline(ctx context.Context, client *transport.Client, txn protocol.Txn) (uint64, error) {
 	deadline := time.Now().Add(interactiveTimeout)
