A proxy's new session forgets the delegations of the old one

What callers would see: a proxy that was paused beyond its lease opens a session and, until its next turn, some 20 to 500 ms, answers heartbeats under delegations that have expired: if the holder reached the machine meanwhile and lost it again, it may take it for lost while that answer keeps its tasks.

Cause: a session that is over takes the shards and the leadership with it, and not the delegations. Evidence: TestNewSessionAnswersForNobody fails before (200 with no record in the store) and passes after.

--- a/internal/coordination/heartbeat_proxy.go
+++ b/internal/coordination/heartbeat_proxy.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// endSession forgets what this controller does as a proxy under a session that is over: its
+// records end with it, and the next session answers for nobody before it has written its own.
+func (p *heartbeatProxy) endSession() {
+	clear(p.delegations)
+	clear(p.sentTxns)
+	p.wakeWaitingHeartbeats()
+}
+
 // isReachable reports whether another controller has recently answered a call.
 func (p *heartbeatProxy) isReachable(name string, now time.Time) bool {
 	if p.firstCalled[name].IsZero() {
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -115,6 +115,7 @@
 	if n.session.id != 0 {
 		slog.Warn("session expired", "session", n.session.id)
 		clear(n.shards)
+		n.heartbeatProxy.endSession()
 		n.revokeLeadership()
 	}
 	if id != 0 {
