Test: up to 40 seeds to bring an unanswered start behind a cut about, in place of 12

TestUnansweredStartLosesNoTaskBehindCut plays seeds until a machine is answered under a newer token, and failed once with none of 12. All checks hold for each play as before; there are more of them.

--- a/internal/coordination/unanswered_start_test.go
+++ b/internal/coordination/unanswered_start_test.go
@@ -66,7 +66,7 @@
 		}
 		t.Run(fmt.Sprintf("%s, cancelled %v, holder replaced %v, proxy restarted %v", c.fate, c.cancelled, c.holderReplaced, c.proxyRestarted), func(t *testing.T) {
 			t.Parallel()
-			const maxSeeds = 12
+			const maxSeeds = 40
 			for seed := range uint64(maxSeeds) {
 				w := c.play(t, seed)
 				w.check(t)
