--- /dev/null
+++ b/internal/storage/leader_budget_test.go
@@ -0,0 +1,54 @@
+package storage
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"reedtrack/internal/protocol"
+)
+
+const (
+	// leaderStoreRPS is a store's limit of writes a second, of which a leader among three
+	// controllers has a share of 108.
+	leaderStoreRPS = 200
+	// userPause is the pause between two writes of users, a tenth more than that share.
+	userPause = time.Second / 120
+	// workerLease is how long workers wait for a holder before they drop their tasks.
+	workerLease = 20 * time.Second
+	// leaderTickPause is how long a leader waits between two attempts.
+	leaderTickPause = 250 * time.Millisecond
+)
+
+// Guards against a leader that writes no shard lease, while the workers of a holder that has
+// ended wait, since users' requests take the write budget ahead of time.
+func TestLeaderWritesBesideUsers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := NewClientWithTransport(accepting{}, 1000, leaderStoreRPS, 3)
+		client.SetLeading(true, leaderStoreRPS, 3)
+		txn := protocol.Txn{Writes: []protocol.Write{{Put: "k"}}}
+		ctx, stop := context.WithCancel(t.Context())
+		var users sync.WaitGroup
+		defer users.Wait()
+		defer stop()
+		users.Go(func() {
+			for ctx.Err() == nil {
+				users.Go(func() { _, _ = client.TxnByDeadline(ctx, txn) })
+				time.Sleep(userPause)
+			}
+		})
+		time.Sleep(workerLease)
+		written := 0
+		for range int(workerLease / leaderTickPause) {
+			if _, err := client.Txn(ctx, txn); err == nil {
+				written++
+			}
+			time.Sleep(leaderTickPause)
+		}
+		if written == 0 {
+			t.Errorf("no write in %v", workerLease)
+		}
+	})
+}
