--- a/internal/coordination/delegation_delay_order_test.go
+++ b/internal/coordination/delegation_delay_order_test.go
@@ -134,8 +134,10 @@
 				j.Tasks, j.Cores, j.EstimatedSeconds, u.submitAfter = 5, 1, 4, time.Duration(20+3*(k-longJobs))*sec
 			}
 		}
-		o.w.spawn(o.run)
-		o.w.spawn(o.findLeftOver)
+		o.w.onStart = func() {
+			o.w.spawn(o.run)
+			o.w.spawn(o.findLeftOver)
+		}
 		o.w.play(longJobs+shortJobs, 150*sec, 700*sec)
 	})
 	return o
--- a/internal/coordination/sim_delegation_order_test.go
+++ b/internal/coordination/sim_delegation_order_test.go
@@ -182,7 +182,6 @@
 
 // run attaches the hook to all links and follows the cut.
 func (o *delayOrder) run() {
-	time.Sleep(time.Millisecond)
 	for _, n := range o.w.nodes {
 		n.wire.mu.Lock()
 		n.wire.decideFate = func(txn protocol.Txn) forcedFate { return o.decide(n.name, txn) }
--- a/internal/coordination/sim_world_test.go
+++ b/internal/coordination/sim_world_test.go
@@ -50,6 +50,7 @@
 	faultSettings
 	linkLoss
 	disabledGuards
+	onStart     func() // called once, when the controllers have been started; nil: nothing is
 	afterRental func() // called once, between the first rental and its answer, which is lost
 
 	specs              map[string]*protocol.Job
@@ -416,6 +417,9 @@
 		w.spawn(u.run)
 	}
 	w.startedAt = time.Now()
+	if w.onStart != nil {
+		w.onStart()
+	}
 	w.spawn(w.watch)
 	end := w.startedAt.Add(rough)
 	if w.script != nil {
