--- a/internal/coordination/loops.go
+++ b/internal/coordination/loops.go
@@ -147,9 +147,8 @@
 	now := n.now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	holdsLease := n.holdsLease(now)
-	n.logLeaseChange(holdsLease)
-	if !holdsLease {
+	n.logLeaseChange(now)
+	if !n.holdsLease(now) {
 		n.failureDetector.pause()
 		return 0, false
 	}
@@ -215,17 +214,21 @@
 	return 1
 }
 
-// logLeaseChange logs when this controller begins and ceases to hold its lease.
-func (n *Node) logLeaseChange(holdsLease bool) {
+// logLeaseChange logs when this controller begins and ceases to hold its lease, and
+// what it lacks.
+func (n *Node) logLeaseChange(now time.Time) {
+	state := n.leaseState(now)
+	holdsLease := state == leaseHeld
 	if holdsLease == n.session.loggedHoldsLease {
 		return
 	}
 	n.session.loggedHoldsLease = holdsLease
 	if holdsLease {
 		slog.Info("lease acquired", "shards", len(n.shards))
-	} else {
-		slog.Warn("lease lost: no valid session, or no answer from the key-value store", "shards", len(n.shards))
+		return
 	}
+	slog.Warn("lease lost: no valid session, or no answer from the key-value store", "shards", len(n.shards), "reason", string(state),
+		"since_renewal_s", now.Sub(n.session.own.RenewalSentAt()).Seconds(), "records_age_s", now.Sub(n.records.SyncedAt).Seconds())
 }
 
 // writeTick writes the records of this controller's shards. Its time goes into
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -9,6 +9,7 @@
 	"reedtrack/internal/config"
 	"reedtrack/internal/session"
 	"reedtrack/internal/storage"
+	"reedtrack/internal/transport"
 )
 
 // controllerSession is the controller's own lease, and what is known of the
@@ -21,6 +22,18 @@
 	loggedHoldsLease bool                        // the last answer of holdsLease that was logged
 }
 
+// leaseState says whether a controller may act, or why it may not. The values are
+// logged.
+type leaseState string
+
+const (
+	leaseHeld          leaseState = "held"
+	noSession          leaseState = "no session"
+	renewalsUnanswered leaseState = "renewals unanswered"
+	recordsNotRecent   leaseState = "records not recent"
+	schemaUnsupported  leaseState = "schema unsupported"
+)
+
 // newControllerSession returns the state of a controller that has no session yet.
 func newControllerSession(timing config.Timing) controllerSession {
 	return controllerSession{
@@ -75,6 +88,7 @@
 		result.Revision, err = n.store.ClaimController(ctx, self, step.Revision)
 	case session.RenewLease:
 		err = n.store.RenewLease(ctx, step.Lease)
+		transport.LeaseRenewals.WithLabelValues(renewalOutcome(err)).Inc()
 	case session.RevokeLease:
 		err = n.store.RevokeLease(ctx, step.Lease)
 	}
@@ -95,6 +109,17 @@
 	return session.Failed
 }
 
+// renewalOutcome returns the label under which a renewal is counted.
+func renewalOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "renewed"
+	case stepOutcome(err) == session.LeaseExpired:
+		return "expired"
+	}
+	return "failed"
+}
+
 // applySession takes over the session's state: the session ID, and until when
 // this controller may act, which counts from when the last renewal was sent.
 func (n *Node) applySession() {
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -35,6 +35,11 @@
 		Name: "reedtrack_upgraded_controllers",
 		Help: "Controllers that have run a version that knows the newest form.",
 	})
+	// LeaseRenewals counts the renewals of this controller's lease that it sent.
+	LeaseRenewals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "reedtrack_lease_renewals_total",
+		Help: "Renewals of this controller's lease that were sent, by outcome.",
+	}, []string{"outcome"})
 	// HeartbeatRelays counts the heartbeats that this controller relayed to holders.
 	HeartbeatRelays = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "reedtrack_heartbeat_relays_total",
@@ -56,7 +61,7 @@
 )
 
 func init() {
-	prometheus.MustRegister(requestsTotal, requestSeconds, RecordSchemaVersion, UpgradedControllers, BlockedJobs, HeartbeatRelays, AcknowledgementSeconds)
+	prometheus.MustRegister(requestsTotal, requestSeconds, RecordSchemaVersion, UpgradedControllers, BlockedJobs, HeartbeatRelays, AcknowledgementSeconds, LeaseRenewals)
 }
 
 // measure counts and times the requests of a kind.
