Copies of a lease's renewal are sent side by side until one is answered

Cause: one renewal under way at a time, given up after 1 s and sent again 0.25 s later: five or six attempts in a lease of 8.3 s. With 40% unanswered, one renewal in 250 finds none.

Change: the lease loop no longer waits for a renewal. One without an answer is sent again after 0.25 s, or as seldom as the store's request limit asks for; the lease counts from the sending of the latest copy that was answered. The first copy that names the lease as gone ends the session, as before.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -144,7 +144,7 @@
 		peerStatus:         map[string]*Status{},
 		loggedStatusErrors: map[statusValueError]bool{},
 	}
-	n.session = newControllerSession(n.timing)
+	n.session = newControllerSession(n.timing, settings)
 	n.storedEnd = n.ends.get
 	n.initWorkers()
 	n.initReplica()
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"time"
 
 	"reedtrack/internal/config"
@@ -35,41 +36,74 @@
 )
 
 // newControllerSession returns the state of a controller that has no session yet.
-func newControllerSession(timing config.Timing) controllerSession {
+func newControllerSession(timing config.Timing, settings *config.Settings) controllerSession {
+	minRenewalInterval := storage.MinRenewalInterval(settings.Deployment.State.RPS, settings.Deployment.Count)
 	return controllerSession{
-		own:  session.New(session.TimingFor(timing.HolderLease), 0),
+		own:  session.New(session.TimingFor(timing.HolderLease, minRenewalInterval), 0),
 		past: map[string]*session.History{},
 	}
 }
 
 // leaseLoop keeps the controller's lease: it performs the session's next step
 // and tells it the outcome. What the step should be is asked anew after each
-// wait, since the session may be found to be over meanwhile.
+// wait, since the session may be found to be over meanwhile. Renewals are not waited
+// for: a lease would run out behind a few that get no answer.
 func (n *Node) leaseLoop(ctx context.Context) {
+	var renewals sync.WaitGroup
+	defer renewals.Wait()
 	for ctx.Err() == nil {
-		n.mu.Lock()
-		step := n.session.own.Next()
-		delay := step.NotBefore.Sub(n.now())
-		n.mu.Unlock()
-		if delay > 0 {
-			select {
-			case <-ctx.Done():
-			case <-n.wake.lease:
-			case <-time.After(delay):
-			}
-			continue
+		step, delay := n.nextSessionStep()
+		switch {
+		case delay > 0:
+			n.awaitSessionStep(ctx, delay)
+		case step.Operation == session.RenewLease:
+			renewals.Go(func() {
+				n.takeSessionStep(ctx, step)
+				signal(n.wake.lease)
+			})
+		default:
+			n.takeSessionStep(ctx, step)
 		}
-		result, err := n.performStep(ctx, step)
-		if err != nil {
-			slog.Debug("lease step failed", "step", step.Operation, "err", err)
-		}
-		n.mu.Lock()
-		n.session.own.HandleResult(step, result, n.now())
-		n.applySession()
-		n.mu.Unlock()
 	}
 }
 
+// nextSessionStep returns the session's next step and how long it has to wait. One that
+// need not wait counts as sent.
+func (n *Node) nextSessionStep() (step session.Step, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	step = n.session.own.Next()
+	delay = step.NotBefore.Sub(now)
+	if delay <= 0 {
+		n.session.own.RecordSent(step, now)
+	}
+	return step, delay
+}
+
+// awaitSessionStep waits until a step is due, or another one may be.
+func (n *Node) awaitSessionStep(ctx context.Context, delay time.Duration) {
+	due := time.NewTimer(delay)
+	defer due.Stop()
+	select {
+	case <-ctx.Done():
+	case <-n.wake.lease:
+	case <-due.C:
+	}
+}
+
+// takeSessionStep performs a step of the session and tells it the outcome.
+func (n *Node) takeSessionStep(ctx context.Context, step session.Step) {
+	result, err := n.performStep(ctx, step)
+	if err != nil {
+		slog.Debug("lease step failed", "step", step.Operation, "err", err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.session.own.HandleResult(step, result, n.now())
+	n.applySession()
+}
+
 // performStep performs one step of the session at the store. The result names
 // when the request was sent: the lease counts from then, since the store may have
 // carried it out at any moment after.
--- a/internal/coordination/sim_store_link_test.go
+++ b/internal/coordination/sim_store_link_test.go
@@ -31,6 +31,7 @@
 	// process or a slow store does.
 	lateRate          float64
 	lostRate          float64
+	renewalsToLose    int // how many of the next renewals of leases are carried out and not answered
 	pauseLeft         func() time.Duration
 	latency           func() time.Duration
 	dropPreconditions bool // transactions lose their preconditions
@@ -186,6 +187,10 @@
 		time.AfterFunc(2*time.Second+late/2, func() { w.commitUnanswered(r, body, number, "late write") })
 		<-ctx.Done()
 		return nil, ctx.Err()
+	case strings.HasSuffix(r.URL.Path, "/renew") && w.losesRenewal():
+		w.commitUnanswered(r, body, number, "renewal's answer lost")
+		<-ctx.Done()
+		return nil, ctx.Err()
 	case (r.URL.Path == "/multi" || strings.HasSuffix(r.URL.Path, "/renew")) && fate < behind+unsaid:
 		w.commitUnanswered(r, body, number, "answer lost")
 		<-ctx.Done()
@@ -252,6 +257,17 @@
 	}
 }
 
+// losesRenewal tells whether a renewal is one of those to be lost.
+func (w *simStoreLink) losesRenewal() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.renewalsToLose == 0 {
+		return false
+	}
+	w.renewalsToLose--
+	return true
+}
+
 func (w *simStoreLink) isRefusing() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/session/doc.go
+++ b/internal/session/doc.go
@@ -13,13 +13,17 @@
 // The package does no I/O and reads no clock. The caller, the lease loop of the
 // controller, runs it like this:
 //
-//	s := session.New(session.TimingFor(lease), 0)
+//	s := session.New(session.TimingFor(lease, minRenewalInterval), 0)
 //	for {
-//		step := s.Next()        // the next request, and its earliest time
+//		step := s.Next() // the next request, and its earliest time
+//		s.RecordSent(step, now)
 //		result := execute(step) // the caller talks to the key-value store
 //		s.HandleResult(step, result, now)
 //	}
 //
+// A renewal is not waited for: the caller executes RenewLease beside the loop, so that
+// copies of a renewal without an answer are under way at a time.
+//
 // Besides, it passes in the key whenever its copy of the records changes
 // (ObserveKey), and may give the session up (StepDown). Lease and RenewalSentAt
 // tell whether, and until when, the controller may act.
--- a/internal/session/model_test.go
+++ b/internal/session/model_test.go
@@ -7,7 +7,7 @@
 )
 
 var (
-	testTiming = TimingFor(10 * time.Second)
+	testTiming = TimingFor(10*time.Second, 0)
 	testTime   = time.Unix(1e9, 0)
 )
 
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -17,7 +17,7 @@
 )
 
 // Session is the state machine of one process's lease and key. It opens a
-// session by ReadKey, GrantLease and WriteKey, in that order, keeps it by
+// session by ReadKey, GrantLease and WriteKey, in that order, keeps it by copies of
 // RenewLease, and begins anew when it is lost. It is not safe for concurrent
 // use.
 type Session struct {
@@ -27,6 +27,7 @@
 	open          bool      // the key stands under lease
 	lease         uint64    // 0: none
 	renewalSentAt time.Time // see RenewalSentAt
+	copySentAt    time.Time // when the newest copy of a renewal of the lease was sent; zero: none was
 	revision      uint64    // of the key, once open
 
 	keyRead     bool // previousKey is what the key is to be replaced under
@@ -64,7 +65,7 @@
 	case s.mustRevoke():
 		return Step{Operation: RevokeLease, Lease: s.toRevoke[0], NotBefore: s.retryAt}
 	case s.open:
-		return Step{Operation: RenewLease, Lease: s.lease, NotBefore: later(s.retryAt, s.nextRenewal())}
+		return Step{Operation: RenewLease, Lease: s.lease, NotBefore: s.nextRenewal()}
 	case !s.keyRead:
 		return Step{Operation: ReadKey, NotBefore: later(s.retryAt, s.reopenAt)}
 	case s.lease == 0:
@@ -83,7 +84,20 @@
 	return s.steppingDown || s.open && s.retryAt.Before(s.nextRenewal())
 }
 
-func (s *Session) nextRenewal() time.Time { return s.renewalSentAt.Add(s.timing.RenewInterval) }
+// nextRenewal returns when the lease is to be renewed, or a copy of a renewal that is
+// without an answer is to be sent.
+func (s *Session) nextRenewal() time.Time {
+	return later(s.renewalSentAt.Add(s.timing.RenewInterval), s.copySentAt.Add(s.timing.RepeatInterval))
+}
+
+// RecordSent records that a step that Next returned is being sent. It must be called
+// before a RenewLease is sent: Next then returns the next copy of it, which may be sent
+// while this one is without an answer. All other steps are sent one after the other.
+func (s *Session) RecordSent(step Step, now time.Time) {
+	if step.Operation == RenewLease && s.open && step.Lease == s.lease {
+		s.copySentAt = now
+	}
+}
 
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
@@ -103,7 +117,7 @@
 	case WriteKey:
 		s.handleWrite(step, r, now)
 	case RenewLease:
-		s.handleRenewal(step, r, now)
+		s.handleRenewal(step, r)
 	case RevokeLease:
 		s.handleRevocation(step, r, now)
 	}
@@ -135,7 +149,7 @@
 		s.retryAfter(s.timing.RetryInterval, now)
 		return
 	}
-	s.lease, s.renewalSentAt, s.retryAt = r.Lease, r.SentAt, time.Time{}
+	s.lease, s.renewalSentAt, s.copySentAt, s.retryAt = r.Lease, r.SentAt, time.Time{}, time.Time{}
 }
 
 func (s *Session) handleWrite(step Step, r Result, now time.Time) {
@@ -156,17 +170,17 @@
 	}
 }
 
-func (s *Session) handleRenewal(step Step, r Result, now time.Time) {
+// handleRenewal records the result of one copy of a renewal. The copies may be answered
+// in any order: the lease counts from the latest sending that is known to be carried out.
+func (s *Session) handleRenewal(step Step, r Result) {
 	if !s.open || step.Lease != s.lease {
 		return
 	}
 	switch r.Outcome {
 	case Succeeded:
-		s.renewalSentAt, s.retryAt = r.SentAt, time.Time{}
+		s.renewalSentAt = later(s.renewalSentAt, r.SentAt)
 	case LeaseExpired:
 		s.close()
-	default:
-		s.retryAfter(s.timing.RetryInterval, now)
 	}
 }
 
--- a/internal/session/timing.go
+++ b/internal/session/timing.go
@@ -4,9 +4,10 @@
 
 // Timing holds the intervals between the requests of a session.
 type Timing struct {
-	RenewInterval time.Duration // from one renewal of the lease to the next
-	RetryInterval time.Duration // from a step that failed to the next attempt
-	YieldInterval time.Duration // between two reads of a key that another process has taken
+	RenewInterval  time.Duration // from one renewal of the lease to the next
+	RepeatInterval time.Duration // from a renewal without an answer to its next copy
+	RetryInterval  time.Duration // from any other step that failed to the next attempt
+	YieldInterval  time.Duration // between two reads of a key that another process has taken
 }
 
 const (
@@ -20,11 +21,15 @@
 	yieldInterval = time.Second
 )
 
-// TimingFor derives the intervals from the duration of the controller's lease.
-func TimingFor(lease time.Duration) Timing {
+// TimingFor derives the intervals from the duration of the controller's lease, and
+// from the shortest interval between renewals that the store's rate limit leaves room for.
+// However low that limit is, copies of a renewal are sent twice as often as renewals.
+func TimingFor(lease, minRenewalInterval time.Duration) Timing {
+	renewInterval := lease / renewalsPerLease
 	return Timing{
-		RenewInterval: lease / renewalsPerLease,
-		RetryInterval: retryInterval,
-		YieldInterval: yieldInterval,
+		RenewInterval:  renewInterval,
+		RepeatInterval: max(retryInterval, min(minRenewalInterval, renewInterval/2)),
+		RetryInterval:  retryInterval,
+		YieldInterval:  yieldInterval,
 	}
 }
--- a/internal/storage/client.go
+++ b/internal/storage/client.go
@@ -16,7 +16,7 @@
 
 	requestConns     = 8
 	watchConns       = 2
-	leaseConns       = 2
+	leaseConns       = 6 // copies of a renewal, and one other step of a session
 	workerLeaseConns = 8
 )
 
--- a/internal/storage/rate_budget.go
+++ b/internal/storage/rate_budget.go
@@ -76,6 +76,14 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// MinRenewalInterval is the shortest interval between renewals of one controller's lease
+// with which all controllers together stay within what watches leave of their share of the
+// store's requests.
+func MinRenewalInterval(rps float64, controllers int) time.Duration {
+	seconds := float64(controllers) / (watchFraction * (1 - watchUtilization) * rps)
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // setLeading changes the limiter only if its rate changes, as that would drop what
 // was saved up.
 func (b *rateBudget) setLeading(leads bool, writeRPS float64, controllers int) {
