--- a/internal/coordination/leadership.go
+++ b/internal/coordination/leadership.go
@@ -162,7 +162,7 @@
 	if candidacy == nil {
 		return
 	}
-	_, err := n.store.Txn(ctx, *candidacy)
+	_, err := n.store.HedgedTxn(ctx, *candidacy)
 	slog.Debug("leader key write attempted", "err", err)
 }
 
@@ -199,7 +199,7 @@
 
 // writeGrant writes a grant and records the outcome.
 func (n *Node) writeGrant(ctx context.Context, leadership *leadership, plan *grantPlan) {
-	revision, err := n.store.Txn(ctx, plan.txn)
+	revision, err := n.sendGrant(ctx, plan)
 	changes := plan.changes.String()
 	switch {
 	case err == nil:
@@ -214,6 +214,15 @@
 	}
 }
 
+// sendGrant sends a grant. The workers of a shard whose holder is gone have no answer
+// until it has the next, so that grant does not wait long for an answer to one copy.
+func (n *Node) sendGrant(ctx context.Context, plan *grantPlan) (uint64, error) {
+	if plan.changes.shard != nil {
+		return n.store.HedgedTxn(ctx, plan.txn)
+	}
+	return n.store.Txn(ctx, plan.txn)
+}
+
 // leaderPrecondition requires that the leader's key is as the copy here shows
 // it.
 func (n *Node) leaderPrecondition() protocol.Precondition {
