--- a/internal/coordination/failover_delay_test.go
+++ b/internal/coordination/failover_delay_test.go
@@ -83,12 +83,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(1, nil)
 				stop := w.open()
-				defer stop()
 				w.linkLoss, w.txnFailureRate = linkLoss{}, 0
 				w.startSteadyLoad(3, 6)
 				time.Sleep(60 * time.Second)
 				leader := w.leader()
 				if leader < 0 || w.unheldShards() > 0 {
+					stop()
 					t.Fatalf("leader %d, %d shards without a holder", leader, w.unheldShards())
 				}
 				writes := &failoverWrites{unanswered: unanswered, lateBy: lateBy, copies: map[string]int{}, carriedOut: map[string]int{}}
@@ -107,6 +107,7 @@
 					t.Errorf("%d shards without a holder %v after theirs has gone", w.unheldShards(), time.Since(gone))
 				}
 				time.Sleep(2 * lateBy)
+				stop()
 				for write, count := range writes.carriedOut {
 					if count > 1 {
 						t.Errorf("%d copies carried out: %s", count, write)
