The machine types are stored again 2 s after a write that failed, not a minute

What callers saw: after a start, or when a leader begins, all controllers but the leader have no machine types for up to a minute, acquire no shard and answer submissions with 503.

Cause: a failed write of the catalog was logged and forgotten until the next reading, a minute later. A failed reading was repeated after 2 s.

Change: a failed write is followed by another reading after 2 s.

--- a/internal/coordination/catalog.go
+++ b/internal/coordination/catalog.go
@@ -16,7 +16,8 @@
 	// catalogReadInterval is how often the leader reads the catalog: its prices
 	// change rarely.
 	catalogReadInterval = time.Minute
-	// catalogRetryDelay is how long a failed read waits before it is repeated.
+	// catalogRetryDelay is how long a failed read or write waits before both are
+	// repeated: without machine types the other controllers acquire no shard.
 	catalogRetryDelay = 2 * time.Second
 	// defaultBootTime is assumed for a machine type that the catalog lacks.
 	defaultBootTime = time.Minute
@@ -40,6 +41,7 @@
 	n.mu.Unlock()
 	if _, err := n.store.Txn(ctx, txn); err != nil {
 		slog.Info("catalog write failed", "err", err)
+		n.retryCatalog()
 	}
 	n.wakeLoops()
 }
