--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -202,23 +202,3 @@
 	}
 	return ordinal
 }
-
-// holdsLease reports whether this controller may act.
-func (n *Node) holdsLease(now time.Time) bool { return n.leaseState(now) == leaseHeld }
-
-// leaseState returns whether this controller may act: its lease at the store is
-// valid by its own clock, counted from when the last renewal was sent, its copy
-// of the records is recent, and it supports the schema version of the records.
-func (n *Node) leaseState(now time.Time) leaseState {
-	switch {
-	case n.session.id == 0:
-		return noSession
-	case !now.Before(n.session.leaseValidUntil):
-		return renewalsUnanswered
-	case !n.records.Loaded || now.Sub(n.records.SyncedAt) >= n.timing.LeaseValidity:
-		return recordsNotRecent
-	case !n.records.SupportsSchema():
-		return schemaUnsupported
-	}
-	return leaseHeld
-}
