A controller that the store does not answer either does not step down for silence

A holder that stood still for 6 s, or was cut off from everything, counted the silence of the workers meanwhile, gave its session up after 3/2 of a heartbeat interval and answered 503 for 9 s once it was reachable again. Without the store it could not hand over anything either: the revocation waited as the heartbeats did.

Cause: IsolationDetector counts each moment in which its loop runs. A process that is paused is told by the gap between two ticks; one that nothing reaches, while its loops run, was not told apart from one that only workers don't reach.

No silence is counted while no renewal is answered that was sent within the last two renewal intervals; when the store answers again the silence begins anew, once until a worker is heard, so that a store that answers seldom delays a step-down once.

--- a/internal/coordination/failure_detection.go
+++ b/internal/coordination/failure_detection.go
@@ -96,6 +96,10 @@
 // leases would expire and they would drop all that they run.
 func (n *Node) stepDownIfIsolated(now time.Time) bool {
 	detector := &n.failureDetector
+	if n.session.own.IsUnanswered(now) {
+		detector.isolation.TickCutOff(now)
+		return false
+	}
 	detector.isolation.Tick(now)
 	if detector.isolation.Silence() <= detector.timing.SuspectAfter() || len(n.records.Controllers) < 2 {
 		return false
--- /dev/null
+++ b/internal/coordination/standstill_test.go
@@ -0,0 +1,40 @@
+package coordination
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against a holder that gives its session up after it stood still: nothing of the
+// workers or of the key-value store reached it, which says nothing of the workers.
+func TestHolderKeepsSessionAfterStandstill(t *testing.T) {
+	const standstill = 6 * time.Second // longer than a step-down takes, shorter than the lease
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3, nil)
+		stop := w.open()
+		defer stop()
+		w.fillMachines = 20
+		holder := w.node(w.startSteadyLoad(3, 6))
+		session, shards := sessionAndShards(holder)
+		w.mu.Lock()
+		for _, n := range w.nodes {
+			if n.node == holder {
+				n.pausedUntil = time.Now().Add(standstill)
+			}
+		}
+		w.mu.Unlock()
+		time.Sleep(standstill + 5*time.Second)
+		sessionAfter, shardsAfter := sessionAndShards(holder)
+		if sessionAfter != session || shardsAfter != shards {
+			t.Errorf("session %d with %d shards before, %d with %d after", session, shards, sessionAfter, shardsAfter)
+		}
+	})
+}
+
+// sessionAndShards returns a controller's session and how many shards it holds.
+func sessionAndShards(n *Node) (session uint64, shards int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.session.id, len(n.shards)
+}
--- a/internal/failuredetector/isolation.go
+++ b/internal/failuredetector/isolation.go
@@ -20,6 +20,8 @@
 	backoff    time.Duration // the least time from the next step-down to the one after it
 	unverified bool          // it has stepped down, and received no heartbeat since
 	relayed    bool          // the silence began anew with a relayed heartbeat
+	cutOff     bool          // the key-value store did not answer at the last tick
+	restarted  bool          // the silence began anew when the key-value store answered again
 
 	nextStepDownAt time.Time // no step-down before this
 	nextHandoverAt time.Time // no step-down before this on account of machines that were never heard
@@ -47,7 +49,7 @@
 
 // RecordHeartbeat records that a heartbeat arrived, of whatever worker.
 func (d *IsolationDetector) RecordHeartbeat() {
-	d.silence, d.backoff, d.unverified, d.relayed = 0, minStepDownBackoff, false, false
+	d.silence, d.backoff, d.unverified, d.relayed, d.restarted = 0, minStepDownBackoff, false, false, false
 }
 
 // RecordRelayedHeartbeat records that another controller relayed a heartbeat. That
@@ -61,14 +63,24 @@
 }
 
 // Tick records that time has passed in which this process could receive
-// heartbeats.
+// heartbeats. After TickCutOff the silence begins anew, once until a heartbeat is
+// received: workers that gave this controller up meanwhile are on their way back.
 func (d *IsolationDetector) Tick(now time.Time) {
+	if d.cutOff && !d.restarted {
+		d.silence, d.restarted = 0, true
+	}
+	d.cutOff = false
 	if !d.lastTick.IsZero() {
 		d.silence += min(max(0, now.Sub(d.lastTick)), maxTick)
 	}
 	d.lastTick = now
 }
 
+// TickCutOff records that time has passed in which the key-value store did not answer
+// this process either. What cuts it off from both is no sign that workers reach other
+// controllers, and without the store nothing can be handed over to these.
+func (d *IsolationDetector) TickCutOff(now time.Time) { d.cutOff, d.lastTick = true, now }
+
 // Pause begins the silence anew. It is to be called while the controller may not
 // act: workers are then told to turn to others.
 func (d *IsolationDetector) Pause() { d.silence, d.lastTick = 0, time.Time{} }
@@ -77,8 +89,8 @@
 func (d *IsolationDetector) Silence() time.Duration { return d.silence }
 
 // MayBeCoincidence reports whether the silence may be one of a few machines that lost a
-// heartbeat. expected is how many machines have reported here and are not delegated to a
-// heartbeat proxy, which hears them instead.
+// heartbeat. expected is how many machines should report here: those that are not
+// delegated to a heartbeat proxy, which hears them instead.
 func (d *IsolationDetector) MayBeCoincidence(expected int) bool {
 	return expected > 0 && expected < minMassLoss && d.silence <= d.timing.FewSilentAfter()
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -58,6 +58,13 @@
 // the response would be too late to count from.
 func (s *Session) RenewalSentAt() time.Time { return s.renewalSentAt }
 
+// IsUnanswered reports whether the store has not answered for a while: no renewal that
+// was sent within the last two renewal intervals, which leaves room for one lost answer.
+// It is false while no session is open.
+func (s *Session) IsUnanswered(now time.Time) bool {
+	return s.open && now.Sub(s.renewalSentAt) > unansweredIntervals*s.timing.RenewInterval
+}
+
 // Next returns the next step. It changes nothing, so it may be called again at
 // any time, as after ObserveKey or StepDown.
 func (s *Session) Next() Step {
--- a/internal/session/timing.go
+++ b/internal/session/timing.go
@@ -14,6 +14,9 @@
 	// renewalsPerLease leaves room for several lost renewals in a row before
 	// the lease expires.
 	renewalsPerLease = 5
+	// unansweredIntervals is how many renewal intervals without an answer it takes
+	// for the store to count as not answering.
+	unansweredIntervals = 2
 	// retryInterval is short against a lease, so that a store that is back is
 	// noticed soon, and long enough not to add to its load.
 	retryInterval = 250 * time.Millisecond
