A new holder counts machines behind a proxy as delegated, also those it never heard

A holder that acquired a shard during a cut between zones gave its session up 4.5 s later: the machines that a heartbeat proxy answers had never reported to it, so they counted as overdue, though their delegations were acknowledged; the few on its own side were silent for one lost heartbeat. Its workers got 503, and the shard another holder.

Cause: countReporting looked at delegations only of machines that had reported to this holder. Now a delegated machine counts as such whether it has or not, and those whose silence may be a coincidence are the others that have reported or should have.

The log line has expected_machines.

--- a/internal/coordination/failure_detection.go
+++ b/internal/coordination/failure_detection.go
@@ -105,14 +105,14 @@
 		return false
 	}
 	counts := n.countReporting(now)
-	if counts.delegated > 0 && detector.isolation.MayBeCoincidence(counts.reporting-counts.delegated) {
+	if counts.delegated > 0 && detector.isolation.MayBeCoincidence(counts.expected) {
 		return false
 	}
 	if !detector.isolation.ShouldStepDown(counts.reporting, counts.neverReported, counts.overdue, now) {
 		return false
 	}
 	slog.Warn("session given up: no heartbeats received", "shards", len(n.shards), "reporting_machines", counts.reporting, "delegated_machines", counts.delegated,
-		"never_reported_machines", counts.neverReported, "silence", detector.isolation.Silence())
+		"never_reported_machines", counts.neverReported, "expected_machines", counts.expected, "silence", detector.isolation.Silence())
 	detector.isolation.RecordStepDown(counts.reporting > 0, now)
 	n.session.own.StepDown(now.Add(detector.timing.ReopenDelay()))
 	n.applySession()
@@ -124,30 +124,37 @@
 // have ever reported to it.
 type reportingCounts struct {
 	reporting     int
-	delegated     int // of reporting, those that a heartbeat proxy hears instead
 	neverReported int
 	overdue       int // of neverReported, those that should have by now
+	delegated     int // of all, those that a heartbeat proxy hears instead
+	expected      int // of all others, those that should report here
 }
 
 // countReporting counts the machines of all shards that the cloud has not
 // removed.
 func (n *Node) countReporting(now time.Time) reportingCounts {
 	var counts reportingCounts
+	patience := n.failureDetector.timing.SuspectAfter()
 	for _, s := range n.shards {
-		settled := now.Sub(s.acquiredAt) > n.failureDetector.timing.SuspectAfter()
+		settled := now.Sub(s.acquiredAt) > patience
 		for _, m := range s.machines {
+			if m.removed {
+				continue
+			}
 			switch {
-			case m.removed:
 			case m.hasReported():
 				counts.reporting++
-				if n.records.DelegatedMachines[s.index][m.lease.Machine] {
-					counts.delegated++
-				}
+			case settled:
+				counts.neverReported++
+				counts.overdue++
 			default:
 				counts.neverReported++
-				if settled {
-					counts.overdue++
-				}
+			}
+			switch {
+			case n.records.DelegatedMachines[s.index][m.lease.Machine]:
+				counts.delegated++
+			case m.hasReported() || now.Sub(m.grantedAt) > patience:
+				counts.expected++
 			}
 		}
 	}
--- a/internal/coordination/isolation_behind_cut_test.go
+++ b/internal/coordination/isolation_behind_cut_test.go
@@ -51,3 +51,51 @@
 		})
 	}
 }
+
+// Guards against a new holder that steps down during a cut between zones since the machines
+// that a heartbeat proxy answers have never reported to it: the few that should report here
+// may be silent by coincidence. It still steps down if they stay silent, or are many.
+func TestNewHolderBesideDelegatedMachines(t *testing.T) {
+	const (
+		machinesPerZone = 4
+		step            = 500 * time.Millisecond
+	)
+	for _, c := range []struct {
+		name      string
+		delegated int // of the eight machines, none of which has reported
+		granted   int // of the others, those that have just been granted
+		silence   time.Duration
+		stepsDown bool
+	}{
+		{"two silent", 6, 0, 9 * time.Second, false},
+		{"two silent for long", 6, 0, 13 * time.Second, true},
+		{"four silent", 4, 0, 9 * time.Second, true},
+		{"three silent, one just granted", 4, 1, 6 * time.Second, false},
+		{"all delegated", 8, 0, 9 * time.Second, true},
+		{"none delegated", 0, 0, 9 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n, s, _, _ := detectionShard(machinesPerZone)
+			now := time.Now()
+			n.records.Controllers["n1"] = clusterstate.Entry[storage.Controller]{}
+			n.records.Controllers["n2"] = clusterstate.Entry[storage.Controller]{}
+			names := append(machineNames(0, machinesPerZone), machineNames(1, machinesPerZone)...)
+			for _, name := range names[:c.granted] {
+				s.machines[name].grantedAt = now.Add(c.silence)
+			}
+			delegated := map[string]bool{}
+			for _, name := range names[len(names)-c.delegated:] {
+				delegated[name] = true
+			}
+			n.records.DelegatedMachines[s.index] = delegated
+			steppedDown := n.stepDownIfIsolated(now)
+			for end := now.Add(c.silence); now.Before(end) && !steppedDown; {
+				now = now.Add(step)
+				steppedDown = n.stepDownIfIsolated(now)
+			}
+			if steppedDown != c.stepsDown {
+				t.Errorf("steps down %v", steppedDown)
+			}
+		})
+	}
+}
