A heartbeat is kept while only a recent copy of the records is lacking, not sent away

Behind a cut the worker then goes round over controllers out of reach, and one exchange of its lease is gone.

Cause: the copy is confirmed by the watch, every 4 s where nothing changes, so 4 s of standstill can make it older than the lease allows; the answers of the store and the workers' heartbeats arrive together, and these were decided on the spot.

Such a heartbeat is now kept like one that waits for an acknowledgement, for 2 s at most and 4,096 at a time, and decided anew when the controller may act again. Only where the session is open and its lease valid: else nothing is known to come.

TestHeartbeatWaitsForRecentRecords.

--- a/internal/coordination/heartbeat.go
+++ b/internal/coordination/heartbeat.go
@@ -27,8 +27,8 @@
 func (n *Node) Heartbeat(report *protocol.Heartbeat) HeartbeatAnswer {
 	n.recordArrival()
 	answer, better := n.answerNow(report)
-	if better.acknowledgement != nil {
-		answer, better = n.awaitAcknowledgement(report, better)
+	if better.change != nil {
+		answer, better = n.awaitBetterAnswer(report, better)
 	}
 	if better.relay == nil {
 		return answer
@@ -46,11 +46,11 @@
 	n.failureDetector.isolation.RecordHeartbeat()
 }
 
-// betterAnswer is where a better answer than a redirect may come from; at most one of
-// its fields is set.
+// betterAnswer is where a better answer than a redirect or 503 may come from; at most one
+// of its fields is set.
 type betterAnswer struct {
-	relay           *relayCall      // the holder
-	acknowledgement <-chan struct{} // this controller as a proxy, once that is closed
+	relay  *relayCall      // the holder
+	change <-chan struct{} // this controller, once that is closed
 }
 
 // answerNow returns this controller's answer to a worker's heartbeat as things stand,
@@ -59,8 +59,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	if !n.holdsLease(now) {
-		return unavailableAnswer, betterAnswer{}
+	if state := n.leaseState(now); state != leaseHeld {
+		return unavailableAnswer, betterAnswer{change: n.pendingLease(state)}
 	}
 	shardIndex, granted := n.records.ShardOfMachine[report.Machine]
 	if !granted {
@@ -79,7 +79,7 @@
 	if proxy := n.otherProxy(report.Machine, shardIndex, now); proxy != "" {
 		return n.redirect(proxy), betterAnswer{}
 	}
-	return n.redirect(holder), betterAnswer{acknowledgement: n.pendingAcknowledgement(report, shardIndex)}
+	return n.redirect(holder), betterAnswer{change: n.pendingAcknowledgement(report, shardIndex)}
 }
 
 // answerUngranted answers a machine that belongs to no shard. The leader, which
--- a/internal/coordination/heartbeat_proxy.go
+++ b/internal/coordination/heartbeat_proxy.go
@@ -19,8 +19,8 @@
 	loggedAnswering   map[int]bool                       // shards for which it was logged that this controller answers
 	loggedFenceErrors map[string]bool                    // invalid fences that were logged
 	sentTxns          sentTxns                           // writes of delegations and acknowledgements, as both sides
-	acknowledged      chan struct{}                      // closed and replaced when this controller may answer for more machines
-	waitingHeartbeats int                                // heartbeats that wait for that
+	changed           chan struct{}                      // closed and replaced when kept heartbeats are to be decided anew
+	waitingHeartbeats int                                // heartbeats that are kept
 	ignoreDelegated   bool                               // set by tests: delegated machines count as silent
 	acknowledgeAlways bool                               // set by tests: the holder acknowledges whatever is in flight
 	timing            heartbeatproxy.Timing
@@ -46,7 +46,7 @@
 		loggedAnswering:   map[int]bool{},
 		loggedFenceErrors: map[string]bool{},
 		sentTxns:          sentTxns{},
-		acknowledged:      make(chan struct{}),
+		changed:           make(chan struct{}),
 		timing:            heartbeatproxy.Timing{DelegationTimeout: delegationTimeout, WorkerExpiry: t.WorkerTimeout},
 	}
 }
--- a/internal/coordination/heartbeat_wait.go
+++ b/internal/coordination/heartbeat_wait.go
@@ -10,13 +10,15 @@
 // A proxy that is not acknowledged yet may not answer, and knows that the holder, to which
 // it would redirect the worker, can't be reached: the worker would spend the rest of its
 // lease going round. So it redirects to another proxy that may answer, or keeps the
-// heartbeat for a while and answers it as soon as it may itself. To the worker that is an
-// answer that took longer; docs/safety.md has the argument.
+// heartbeat for a while and answers it as soon as it may itself. So does a controller whose
+// lease is valid while its copy of the records is not recent, as in the instant after it was
+// cut off from the key-value store: it would send the worker away with 503. To the worker
+// that is an answer that took longer; docs/safety.md has the argument.
 
 const (
-	// acknowledgementWait is how long a heartbeat is kept. A worker waits 4 s from when
-	// it sent it, and is to be redirected in time if there is no acknowledgement.
-	acknowledgementWait = 2 * time.Second
+	// maxHeartbeatWait is how long a heartbeat is kept. A worker waits 4 s from when
+	// it sent it, and is to be redirected in time if nothing has changed.
+	maxHeartbeatWait = 2 * time.Second
 	// maxWaitingHeartbeats is how many heartbeats are kept at a time. Beyond that
 	// workers are redirected.
 	maxWaitingHeartbeats = 4096
@@ -51,29 +53,44 @@
 	if delegation == nil || report.Zone != n.settings.Location || !delegation.AwaitsAcknowledgement(report.Machine) {
 		return nil
 	}
-	if proxy.waitingHeartbeats >= maxWaitingHeartbeats {
+	return proxy.nextChange()
+}
+
+// pendingLease returns a channel that is closed when this controller may act again, if it
+// lacks only a recent copy of the records for that; else nil.
+func (n *Node) pendingLease(state leaseState) <-chan struct{} {
+	if state != recordsNotRecent {
+		return nil
+	}
+	return n.heartbeatProxy.nextChange()
+}
+
+// nextChange returns a channel that is closed when heartbeats that are kept are to be
+// decided anew, or nil if no more are to be kept.
+func (p *heartbeatProxy) nextChange() <-chan struct{} {
+	if p.waitingHeartbeats >= maxWaitingHeartbeats {
 		return nil
 	}
-	return proxy.acknowledged
+	return p.changed
 }
 
-// awaitAcknowledgement keeps a heartbeat until this controller may answer it as a proxy,
-// or acknowledgementWait is over. It returns the answer as things then stand.
-func (n *Node) awaitAcknowledgement(report *protocol.Heartbeat, better betterAnswer) (HeartbeatAnswer, betterAnswer) {
+// awaitBetterAnswer keeps a heartbeat until there is a better answer to it, or
+// maxHeartbeatWait is over. It returns the answer as things then stand.
+func (n *Node) awaitBetterAnswer(report *protocol.Heartbeat, better betterAnswer) (HeartbeatAnswer, betterAnswer) {
 	n.countWaitingHeartbeat(1)
 	defer n.countWaitingHeartbeat(-1)
-	timeout := time.NewTimer(acknowledgementWait)
+	timeout := time.NewTimer(maxHeartbeatWait)
 	defer timeout.Stop()
 	for {
 		timedOut := false
 		select {
-		case <-better.acknowledgement:
+		case <-better.change:
 		case <-timeout.C:
 			timedOut = true
 		}
 		var answer HeartbeatAnswer
 		answer, better = n.answerNow(report)
-		if timedOut || better.acknowledgement == nil {
+		if timedOut || better.change == nil {
 			return answer, better
 		}
 	}
@@ -86,8 +103,8 @@
 	n.heartbeatProxy.waitingHeartbeats += change
 }
 
-// wakeWaitingHeartbeats has the heartbeats that wait for an acknowledgement look again.
+// wakeWaitingHeartbeats has the heartbeats that are kept decided anew.
 func (p *heartbeatProxy) wakeWaitingHeartbeats() {
-	close(p.acknowledged)
-	p.acknowledged = make(chan struct{})
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
--- a/internal/coordination/heartbeat_wait_test.go
+++ b/internal/coordination/heartbeat_wait_test.go
@@ -42,8 +42,8 @@
 		took   time.Duration
 	}{
 		"acknowledged":  {700 * time.Millisecond, http.StatusOK, 700 * time.Millisecond},
-		"never":         {0, http.StatusMisdirectedRequest, acknowledgementWait},
-		"just too late": {acknowledgementWait + time.Millisecond, http.StatusMisdirectedRequest, acknowledgementWait},
+		"never":         {0, http.StatusMisdirectedRequest, maxHeartbeatWait},
+		"just too late": {maxHeartbeatWait + time.Millisecond, http.StatusMisdirectedRequest, maxHeartbeatWait},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -76,7 +76,7 @@
 // Guards against a heartbeat that is kept though what it waits for can't come any more, or
 // for longer than its worker waits.
 func TestKeptHeartbeatIsDecidedAnew(t *testing.T) {
-	if acknowledgementWait+relayTimeout >= workerTimeout {
+	if maxHeartbeatWait+relayTimeout >= workerTimeout {
 		t.Error("a kept heartbeat that is relayed afterwards is answered too late")
 	}
 	for name, c := range map[string]struct {
@@ -85,7 +85,7 @@
 		took   time.Duration
 	}{
 		"holder in reach again": {func(n *Node) { n.heartbeatProxy.lastReached["n0"] = n.now() }, http.StatusMisdirectedRequest, time.Second},
-		"lease lost":            {func(n *Node) { n.session.leaseValidUntil = n.now() }, http.StatusServiceUnavailable, acknowledgementWait},
+		"lease lost":            {func(n *Node) { n.session.leaseValidUntil = n.now() }, http.StatusServiceUnavailable, maxHeartbeatWait},
 		"session over":          {func(n *Node) { n.replaceSession(0) }, http.StatusServiceUnavailable, time.Second},
 		"acknowledged, then lease lost": {func(n *Node) {
 			delegate(t, n, testDelegation, true)
@@ -167,3 +167,43 @@
 		})
 	}
 }
+
+// Guards against a worker that is sent away with 503 in the instant before a controller that
+// was cut off from the key-value store has caught up: its lease is valid all the time.
+func TestHeartbeatWaitsForRecentRecords(t *testing.T) {
+	for name, c := range map[string]struct {
+		after   time.Duration // the records are recent so long after the heartbeat; 0: never
+		waiting int           // heartbeats that are kept already
+		status  int
+		took    time.Duration
+	}{
+		"caught up":     {after: 300 * time.Millisecond, status: http.StatusOK, took: 300 * time.Millisecond},
+		"never":         {status: http.StatusServiceUnavailable, took: maxHeartbeatWait},
+		"just too late": {after: maxHeartbeatWait + time.Millisecond, status: http.StatusServiceUnavailable, took: maxHeartbeatWait},
+		"too many wait": {after: 300 * time.Millisecond, waiting: maxWaitingHeartbeats, status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := proxyNode(t)
+				delegate(t, n, testDelegation, true)
+				n.refresh()
+				n.records.SyncedAt = n.now().Add(-n.timing.LeaseValidity)
+				n.recordLeaseChange(n.now())
+				n.heartbeatProxy.waitingHeartbeats = c.waiting
+				if c.after > 0 {
+					time.AfterFunc(c.after, func() {
+						n.refresh()
+						n.mu.Lock()
+						defer n.mu.Unlock()
+						n.recordLeaseChange(n.now())
+					})
+				}
+				sentAt := time.Now()
+				if answer := n.Heartbeat(zoneHeartbeat(1)); answer.Status != c.status || time.Since(sentAt) != c.took {
+					t.Errorf("%+v after %v", answer, time.Since(sentAt))
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/internal/coordination/loops.go
+++ b/internal/coordination/loops.go
@@ -147,7 +147,7 @@
 	now := n.now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.logLeaseChange(now)
+	n.recordLeaseChange(now)
 	if !n.holdsLease(now) {
 		n.failureDetector.pause()
 		return 0, false
@@ -214,9 +214,9 @@
 	return 1
 }
 
-// logLeaseChange logs when this controller begins and ceases to hold its lease, and
+// recordLeaseChange logs when this controller begins and ceases to hold its lease, and
 // what it lacks.
-func (n *Node) logLeaseChange(now time.Time) {
+func (n *Node) recordLeaseChange(now time.Time) {
 	state := n.leaseState(now)
 	holdsLease := state == leaseHeld
 	if holdsLease == n.session.loggedHoldsLease {
@@ -225,6 +225,7 @@
 	n.session.loggedHoldsLease = holdsLease
 	if holdsLease {
 		slog.Info("lease acquired", "shards", len(n.shards))
+		n.heartbeatProxy.wakeWaitingHeartbeats()
 		return
 	}
 	slog.Warn("lease lost: no valid session, or no answer from the key-value store", "shards", len(n.shards), "reason", string(state),
