A heartbeat is kept after a relay without an answer, not sent to that holder

Cause: a failed relay was forgotten at once. The holder counted as reachable for 2 s after its last status, and then as unreachable with no delegation planned yet.

A failed relay is now remembered until the holder is reached again. Meanwhile, and until the delegation is planned, heartbeats of the controller's own zone are kept as those that wait for an acknowledgement are: 2 s from their arrival at most, relay included 3 s of the worker's 4 s, 4,096 at a time; decided anew when the holder is reached, its session ends, or the controller may answer in its place.

TestHeartbeatWaitsAfterFailedRelay: four of six cases fail without the memory, none with it.

--- a/internal/coordination/delegations.go
+++ b/internal/coordination/delegations.go
@@ -78,12 +78,15 @@
 // isHolderUnreachable reports whether a shard's holder is another controller
 // whose session is open, and which this one can't reach.
 func (n *Node) isHolderUnreachable(shardIndex int, now time.Time) bool {
+	return n.isHeldByPeer(shardIndex) && !n.heartbeatProxy.isReachable(n.records.Shards[shardIndex].Value.Holder.Name, now)
+}
+
+// isHeldByPeer reports whether a shard's holder is another controller whose session is
+// open.
+func (n *Node) isHeldByPeer(shardIndex int) bool {
 	holder := n.records.Shards[shardIndex].Value.Holder
 	key, up := n.records.Controllers[holder.Name]
-	if n.shards[shardIndex] != nil || !up || key.Value.Session != holder.Session || n.peers[holder.Name] == nil {
-		return false
-	}
-	return !n.heartbeatProxy.isReachable(holder.Name, now)
+	return n.shards[shardIndex] == nil && up && key.Value.Session == holder.Session && n.peers[holder.Name] != nil
 }
 
 // logAnswering logs when this controller begins and ceases to answer for a
--- a/internal/coordination/heartbeat.go
+++ b/internal/coordination/heartbeat.go
@@ -26,17 +26,22 @@
 // redirect the worker.
 func (n *Node) Heartbeat(report *protocol.Heartbeat) HeartbeatAnswer {
 	n.recordArrival()
-	answer, better := n.answerNow(report)
-	if better.change != nil {
-		answer, better = n.awaitBetterAnswer(report, better)
+	deadline := time.Now().Add(maxHeartbeatWait)
+	for isLast := false; ; {
+		answer, better := n.answerNow(report)
+		if better.relay != nil {
+			relayed, err := better.relay.call()
+			if err == nil {
+				return relayed
+			}
+			n.recordFailedRelay(better.relay.holder)
+			answer, better = n.answerNow(report)
+		}
+		if isLast || better.change == nil {
+			return answer
+		}
+		isLast = !n.awaitChange(better.change, deadline)
 	}
-	if better.relay == nil {
-		return answer
-	}
-	if relayed, err := better.relay.call(); err == nil {
-		return relayed
-	}
-	return answer
 }
 
 // recordArrival records that a worker reaches this controller.
@@ -73,12 +78,18 @@
 		return HeartbeatAnswer{Status: http.StatusOK, Response: response}, betterAnswer{}
 	}
 	holder := n.records.Shards[shardIndex].Value.Holder.Name
+	if n.heartbeatProxy.relayFailed[holder] && n.heartbeatProxy.isReachable(holder, now) {
+		return n.redirect(holder), betterAnswer{change: n.pendingDelegation(report, shardIndex)}
+	}
 	if n.peers[holder] == nil || n.heartbeatProxy.isReachable(holder, now) {
 		return n.redirect(holder), betterAnswer{relay: n.newRelayCall(report, shardIndex, now)}
 	}
 	if proxy := n.otherProxy(report.Machine, shardIndex, now); proxy != "" {
 		return n.redirect(proxy), betterAnswer{}
 	}
+	if n.heartbeatProxy.delegations[shardIndex] == nil {
+		return n.redirect(holder), betterAnswer{change: n.pendingDelegation(report, shardIndex)}
+	}
 	return n.redirect(holder), betterAnswer{change: n.pendingAcknowledgement(report, shardIndex)}
 }
 
--- a/internal/coordination/heartbeat_proxy.go
+++ b/internal/coordination/heartbeat_proxy.go
@@ -16,6 +16,7 @@
 	delegations       map[int]*heartbeatproxy.Delegation // machines delegated to this controller, by shard
 	lastReached       map[string]time.Time               // when a call to each other controller last succeeded
 	firstCalled       map[string]time.Time               // when the first call to each was due
+	relayFailed       map[string]bool                    // controllers that did not answer a relayed heartbeat since they were last reached
 	loggedAnswering   map[int]bool                       // shards for which it was logged that this controller answers
 	loggedFenceErrors map[string]bool                    // invalid fences that were logged
 	sentTxns          sentTxns                           // writes of delegations and acknowledgements, as both sides
@@ -43,6 +44,7 @@
 		delegations:       map[int]*heartbeatproxy.Delegation{},
 		lastReached:       map[string]time.Time{},
 		firstCalled:       map[string]time.Time{},
+		relayFailed:       map[string]bool{},
 		loggedAnswering:   map[int]bool{},
 		loggedFenceErrors: map[string]bool{},
 		sentTxns:          sentTxns{},
@@ -59,6 +61,16 @@
 	p.wakeWaitingHeartbeats()
 }
 
+// recordReached records that another controller answered a call. Heartbeats that are kept
+// since it did not answer a relay are decided anew.
+func (p *heartbeatProxy) recordReached(name string, now time.Time) {
+	p.lastReached[name] = now
+	if p.relayFailed[name] {
+		delete(p.relayFailed, name)
+		p.wakeWaitingHeartbeats()
+	}
+}
+
 // isReachable reports whether another controller has recently answered a call.
 func (p *heartbeatProxy) isReachable(name string, now time.Time) bool {
 	if p.firstCalled[name].IsZero() {
--- a/internal/coordination/heartbeat_relay.go
+++ b/internal/coordination/heartbeat_relay.go
@@ -91,6 +91,15 @@
 	return &relayCall{peer: peer, holder: holder, message: PeerMessage{Heartbeat: relayed}}
 }
 
+// recordFailedRelay records that a holder did not answer a relayed heartbeat. It may be out
+// of reach: until it is reached again, heartbeats are kept for when this controller may
+// answer in its place.
+func (n *Node) recordFailedRelay(holder string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.heartbeatProxy.relayFailed[holder] = true
+}
+
 // errNoRelayedAnswer is the error of a reply without an answer to a heartbeat.
 var errNoRelayedAnswer = errors.New("reply without an answer to the relayed heartbeat")
 
--- a/internal/coordination/heartbeat_wait.go
+++ b/internal/coordination/heartbeat_wait.go
@@ -10,7 +10,8 @@
 // A proxy that is not acknowledged yet may not answer, and knows that the holder, to which
 // it would redirect the worker, can't be reached: the worker would spend the rest of its
 // lease going round. So it redirects to another proxy that may answer, or keeps the
-// heartbeat for a while and answers it as soon as it may itself. So does a controller whose
+// heartbeat for a while and answers it as soon as it may itself. So does a controller that
+// is about to be a proxy: its relay to the holder got no answer. And so does one whose
 // lease is valid while its copy of the records is not recent, as in the instant after it was
 // cut off from the key-value store: it would send the worker away with 503. To the worker
 // that is an answer that took longer; docs/safety.md has the argument.
@@ -56,6 +57,19 @@
 	return proxy.nextChange()
 }
 
+// pendingDelegation returns a channel that is closed when this controller may answer for more
+// machines, or reaches the holder of a machine of its zone again, which has not answered it;
+// nil if the holder's session is over, or the machine can't be delegated to this controller.
+func (n *Node) pendingDelegation(report *protocol.Heartbeat, shardIndex int) <-chan struct{} {
+	if !n.records.HeartbeatProxiesEnabled() || n.settings.Location == "" || report.Zone != n.settings.Location {
+		return nil
+	}
+	if !n.isHeldByPeer(shardIndex) {
+		return nil
+	}
+	return n.heartbeatProxy.nextChange()
+}
+
 // pendingLease returns a channel that is closed when this controller may act again, if it
 // lacks only a recent copy of the records for that; else nil.
 func (n *Node) pendingLease(state leaseState) <-chan struct{} {
@@ -74,25 +88,22 @@
 	return p.changed
 }
 
-// awaitBetterAnswer keeps a heartbeat until there is a better answer to it, or
-// maxHeartbeatWait is over. It returns the answer as things then stand.
-func (n *Node) awaitBetterAnswer(report *protocol.Heartbeat, better betterAnswer) (HeartbeatAnswer, betterAnswer) {
+// awaitChange keeps a heartbeat until a channel is closed. It returns false if that did not
+// happen before the deadline.
+func (n *Node) awaitChange(change <-chan struct{}, deadline time.Time) bool {
+	remaining := time.Until(deadline)
+	if remaining <= 0 {
+		return false
+	}
 	n.countWaitingHeartbeat(1)
 	defer n.countWaitingHeartbeat(-1)
-	timeout := time.NewTimer(maxHeartbeatWait)
+	timeout := time.NewTimer(remaining)
 	defer timeout.Stop()
-	for {
-		timedOut := false
-		select {
-		case <-better.change:
-		case <-timeout.C:
-			timedOut = true
-		}
-		var answer HeartbeatAnswer
-		answer, better = n.answerNow(report)
-		if timedOut || better.change == nil {
-			return answer, better
-		}
+	select {
+	case <-change:
+		return true
+	case <-timeout.C:
+		return false
 	}
 }
 
--- a/internal/coordination/heartbeat_wait_test.go
+++ b/internal/coordination/heartbeat_wait_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -207,3 +208,57 @@
 		})
 	}
 }
+
+// remove deletes a record from a controller's copy.
+func remove(n *Node, key string) {
+	for _, change := range n.records.Apply([]protocol.Change{{Delete: key, Revision: 30}}) {
+		n.reactTo(change)
+	}
+}
+
+// Guards against a worker that is sent to a holder which has just not answered a relay, in
+// the two seconds before a cut between zones is noticed: it comes back an exchange later.
+func TestHeartbeatWaitsAfterFailedRelay(t *testing.T) {
+	const after = 700 * time.Millisecond
+	for name, c := range map[string]struct {
+		prepare func(n *Node) // nil: nothing
+		change  func(n *Node) // some time after the heartbeat; nil: nothing
+		status  int
+		took    time.Duration
+	}{
+		"acknowledged": {change: func(n *Node) {
+			delegate(t, n, testDelegation, true)
+			n.heartbeatProxy.lastReached["n0"] = time.Time{}
+		}, status: http.StatusOK, took: after},
+		"reached again":          {change: func(n *Node) { n.heartbeatProxy.recordReached("n0", n.now()) }, status: http.StatusMisdirectedRequest, took: after},
+		"session of holder over": {change: func(n *Node) { remove(n, storage.ControllerKey("n0")) }, status: http.StatusMisdirectedRequest, took: after},
+		"nothing changes":        {status: http.StatusMisdirectedRequest, took: maxHeartbeatWait},
+		"another zone":           {prepare: func(n *Node) { n.settings.Location = "a" }, status: http.StatusMisdirectedRequest},
+		"too many wait":          {prepare: func(n *Node) { n.heartbeatProxy.waitingHeartbeats = maxWaitingHeartbeats }, status: http.StatusMisdirectedRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := proxyNode(t)
+				n.peers["n0"] = &relayPeer{err: errors.New("no link")}
+				n.heartbeatProxy.lastReached["n0"] = n.now()
+				if c.prepare != nil {
+					c.prepare(n)
+				}
+				n.refresh()
+				time.AfterFunc(after, func() {
+					if c.change != nil {
+						n.mu.Lock()
+						c.change(n)
+						n.mu.Unlock()
+					}
+					n.refresh()
+				})
+				sentAt := time.Now()
+				if answer := n.Heartbeat(zoneHeartbeat(1)); answer.Status != c.status || time.Since(sentAt) != c.took {
+					t.Errorf("%+v after %v", answer, time.Since(sentAt))
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/internal/coordination/record_changes.go
+++ b/internal/coordination/record_changes.go
@@ -42,6 +42,7 @@
 			n.session.past[change.Name] = &session.History{}
 		}
 		n.session.past[change.Name].Observe(change.Session)
+		n.heartbeatProxy.wakeWaitingHeartbeats()
 	case clusterstate.JobChange:
 		n.updateJob(change)
 	case clusterstate.GrantChange:
--- a/internal/coordination/status_exchange.go
+++ b/internal/coordination/status_exchange.go
@@ -81,7 +81,7 @@
 			slog.Debug("status exchange failed", "peer", name, "err", err)
 		} else {
 			n.mu.Lock()
-			n.heartbeatProxy.lastReached[name] = n.now()
+			n.heartbeatProxy.recordReached(name, n.now())
 			n.applyStatusReply(&reply)
 			n.mu.Unlock()
 		}
