--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -158,3 +158,25 @@
 		}
 	}
 }
+
+// Guards against a store that counts as not answering after one lost answer, or never; and
+// before a session is open.
+func TestIsUnanswered(t *testing.T) {
+	const lease = 10 * time.Second
+	s := New(TimingFor(lease, 0), 0)
+	if s.IsUnanswered(testTime.Add(time.Hour)) {
+		t.Error("no session is open")
+	}
+	s.HandleResult(Step{Operation: ReadKey}, Result{}, testTime)
+	s.HandleResult(Step{Operation: GrantLease}, Result{Lease: 1, SentAt: testTime}, testTime)
+	s.HandleResult(Step{Operation: WriteKey, Lease: 1}, Result{Revision: 1}, testTime)
+	for after, want := range map[time.Duration]bool{0: false, lease / 5: false, lease * 2 / 5: false, lease*2/5 + 1: true, lease: true} {
+		if s.IsUnanswered(testTime.Add(after)) != want {
+			t.Errorf("%v after the last answered renewal: unanswered %v", after, !want)
+		}
+	}
+	s.HandleResult(Step{Operation: RenewLease, Lease: 1}, Result{SentAt: testTime.Add(lease / 2)}, testTime.Add(lease*3/4))
+	if s.IsUnanswered(testTime.Add(lease * 3 / 4)) {
+		t.Error("counted from before the last answered renewal")
+	}
+}
