What a job waits for still counts while it is held back to leave its shard

A job with tasks that run waited for over 90 s though a machine was requested for it in time: while that booted, the job was held back to go to room in another shard, its shard wanted no machine any more and the machine was released. Its tasks ran for longer than estimated, so it was held back for 54 s, waited 12 s, and was held back again.

Cause: a job that is held back leaves the queue, so that nothing of it is placed; its shard's demand for machines and shares was computed from the queue alone.

Its pending tasks now count for scale-out, for the team's desired share and for its smallest task, and are placed nowhere. A machine that comes with room for as many of them as the room elsewhere keeps the job, as before.

TestLeavingJobKeepsRequestedMachine fails before: nothing requested.

--- a/internal/coordination/migration_to_room_test.go
+++ b/internal/coordination/migration_to_room_test.go
@@ -201,3 +201,34 @@
 		t.Errorf("%d moves in a minute, at most %d", moves, most)
 	}
 }
+
+// Guards against a job that is held back to leave and turns away the machine which was
+// requested for it: it waited for over 90 s, held back, waiting and held back again, since
+// its tasks ran for longer than they were to.
+func TestLeavingJobKeepsRequestedMachine(t *testing.T) {
+	n, s, input, report := detectionShard(1)
+	now := time.Now()
+	report(now, "m0", "m1")
+	n.detectFailures(input, now)
+	j := addPendingJob(s, "wk-000001", 3)
+	s.shares["red"] = storage.Resources{Cores: 12}
+	input.teams["red"] = teamQuota{limit: storage.Resources{Cores: 12}}
+	check := func(when string) {
+		t.Helper()
+		s.plan(input, true, now)
+		requested := s.requestedByZone()
+		if requested["a"]+requested["b"] != 1 || s.desired["red"].Cores != 12 || s.smallestTask["red"].Cores != 4 {
+			t.Errorf("%s: requested %v, desired %v, smallest task %v", when, requested, s.desired, s.smallestTask)
+		}
+	}
+	check("waiting")
+	if len(j.attempts) != 2 {
+		t.Fatalf("%d tasks placed", len(j.attempts))
+	}
+	j.leavingUntil = now.Add(time.Minute)
+	check("held back")
+	j.migrating = true
+	if s.plan(input, true, now); len(s.scaleOut) != 0 {
+		t.Errorf("requested for a job that goes: %v", s.scaleOut)
+	}
+}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -102,15 +102,15 @@
 // in the shard's queue.
 func (p *planner) placePending() []unplacedTasks {
 	s := p.shard
-	unreported := s.unreportedCapacity()
+	p.unreported = s.unreportedCapacity()
+	p.claimed = map[string]storage.Resources{}
 	s.resetDesired()
 	candidates := p.placementCandidates()
 	var unplaced []unplacedTasks
-	claimed := map[string]storage.Resources{} // by what is unplaced, per team
 	for _, j := range s.queue {
 		pending := j.pendingTasks()
 		j.addNeed(s.desired, pending)
-		allowed := min(pending, s.remainingQuota(j, p.input.teams, unreported))
+		allowed := min(pending, s.remainingQuota(j, p.input.teams, p.unreported))
 		placed := 0
 		if j.spec.IsGang() {
 			if allowed < pending || len(j.attempts) > 0 {
@@ -122,19 +122,41 @@
 			placed = len(p.placeTasks(j, allowed, candidates))
 		}
 		s.noteUnplaced(j, placed >= allowed, p.now)
-		// What is unplaced of earlier jobs has a claim on the quota, too.
-		claim := claimed[j.spec.Team]
-		spoken := storage.Resources{Cores: unreported.Cores + claim.Cores, GPUs: unreported.GPUs + claim.GPUs}
-		if count := min(allowed-placed, s.remainingQuota(j, p.input.teams, spoken)); count > 0 {
-			unplaced = append(unplaced, unplacedTasks{j, count})
-			j.addNeed(claimed, count)
-		}
+		unplaced = p.appendUnplaced(unplaced, j, allowed-placed)
 	}
 	s.capacityFreed = false
-	s.updateSmallestTasks()
+	p.leaving = p.leavingTasks()
+	s.updateSmallestTasks(p.leaving)
 	return unplaced
 }
 
+// appendUnplaced appends so many tasks of a job to those that found no machine, as far as
+// its team's quota allows: what is unplaced of earlier jobs has a claim on that, too.
+func (p *planner) appendUnplaced(unplaced []unplacedTasks, j *job, count int) []unplacedTasks {
+	claim := p.claimed[j.spec.Team]
+	spoken := storage.Resources{Cores: p.unreported.Cores + claim.Cores, GPUs: p.unreported.GPUs + claim.GPUs}
+	count = min(count, p.shard.remainingQuota(j, p.input.teams, spoken))
+	if count <= 0 {
+		return unplaced
+	}
+	j.addNeed(p.claimed, count)
+	return append(unplaced, unplacedTasks{j, count})
+}
+
+// leavingTasks lists the pending tasks of jobs that are held back to leave the shard, after
+// those that found no machine. They are placed on none. But a machine that was requested
+// for them before may come, and take them, long before their job's last attempt has ended.
+func (p *planner) leavingTasks() []unplacedTasks {
+	var leaving []unplacedTasks
+	isLeaving := func(j *job) bool { return j.isLeaving() && !j.migrating && !j.ended }
+	for _, j := range sortedBySubmission(p.shard.jobs, isLeaving) {
+		pending := j.pendingTasks()
+		j.addNeed(p.shard.desired, pending)
+		leaving = p.appendUnplaced(leaving, j, pending)
+	}
+	return leaving
+}
+
 // resetDesired begins to sum what the teams desire with what they use.
 func (s *shard) resetDesired() {
 	clear(s.desired)
@@ -156,8 +178,8 @@
 }
 
 // updateSmallestTasks records the least that one of a team's pending tasks
-// needs.
-func (s *shard) updateSmallestTasks() {
+// needs, of the queue and of the jobs that are held back.
+func (s *shard) updateSmallestTasks(leaving []unplacedTasks) {
 	clear(s.smallestTask)
 	smaller := func(a, b float64) float64 { // 0: none yet
 		if a == 0 || b > 0 && b < a {
@@ -165,15 +187,21 @@
 		}
 		return a
 	}
+	add := func(j *job) {
+		smallest := s.smallestTask[j.spec.Team]
+		s.smallestTask[j.spec.Team] = storage.Resources{
+			Cores: smaller(smallest.Cores, j.need[placement.Cores]),
+			GPUs:  smaller(smallest.GPUs, j.need[placement.Cards]),
+		}
+	}
 	for _, j := range s.queue {
 		if j.pendingTasks() > 0 {
-			smallest := s.smallestTask[j.spec.Team]
-			s.smallestTask[j.spec.Team] = storage.Resources{
-				Cores: smaller(smallest.Cores, j.need[placement.Cores]),
-				GPUs:  smaller(smallest.GPUs, j.need[placement.Cards]),
-			}
+			add(j)
 		}
 	}
+	for _, tasks := range leaving {
+		add(tasks.job)
+	}
 }
 
 // fillMachine places pending tasks on a machine with freed capacity, in the
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -30,15 +30,16 @@
 //	step                      reads                          writes                      cost
 //	orderQueue                jobs, capacity, booting        queue                       J log J
 //	  (queue.go)              machines, deadlines                                        and Snapshot.Order
-//	placePending              queue, free capacity, quota    attempts, desired,          J·M + P log M
-//	  (placement.go)                                         smallestTask; unplaced
+//	placePending              queue, free capacity, quota,   attempts, desired,          J·M + P log M
+//	  (placement.go)          jobs that are held back        smallestTask; unplaced,
+//	                                                         leaving
 //	drain                     condition of machines          stops, unsent attempts      P
 //	  (drain.go)                                             taken back
 //	excludeStopping           attempts that are stopping     shorter unplaced            P + U·M
 //	  (preemption.go)
 //	preempt (full)            attempts, priorities,          stops; shorter unplaced     U·P
 //	  (preemption.go)         guarantees
-//	planScaleOut              unplaced, booting machines     scaleOut, suitableKinds,    U·M
+//	planScaleOut              unplaced, leaving, booting     scaleOut, suitableKinds,    U·M
 //	  (scale_out.go)                                         stalls, startable
 //	consolidate (full)        attempts, prices               draining, stops             P·M
 //	  (drain.go)
@@ -99,6 +100,10 @@
 	input    *planInput
 	machines []*machine // of the shard, by name: the order in which equal candidates are taken
 	now      time.Time
+
+	unreported storage.Resources            // what may run on machines that have not reported yet
+	claimed    map[string]storage.Resources // by what found no machine, per team
+	leaving    []unplacedTasks              // of jobs that are held back to leave the shard
 }
 
 // newPlanner returns a planner for one plan of the shard.
@@ -118,7 +123,7 @@
 	if full {
 		unplaced = p.preempt(unplaced)
 	}
-	s.planScaleOut(unplaced, s.tasksOnReclaimedMachines(p.machines, now), input, now)
+	s.planScaleOut(slices.Concat(unplaced, p.leaving), s.tasksOnReclaimedMachines(p.machines, now), input, now)
 	if full || len(unplaced) > 0 {
 		p.consolidate(unplaced)
 	}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -28,16 +28,24 @@
 // placeableJobs lists the jobs with tasks that may be placed now, in the order
 // in which they were submitted: among equals it decides.
 func (s *shard) placeableJobs(now time.Time) []*job {
-	var jobs []*job
-	for _, j := range s.jobs {
-		if j.isStartable() && !now.Before(j.retryAfter) && j.pendingTasks() > 0 {
-			jobs = append(jobs, j)
+	return sortedBySubmission(s.jobs, func(j *job) bool {
+		return j.isStartable() && !now.Before(j.retryAfter) && j.pendingTasks() > 0
+	})
+}
+
+// sortedBySubmission lists the jobs that a condition holds for, in the order in which they
+// were submitted.
+func sortedBySubmission(jobs map[string]*job, condition func(*job) bool) []*job {
+	var sorted []*job
+	for _, j := range jobs {
+		if condition(j) {
+			sorted = append(sorted, j)
 		}
 	}
-	slices.SortFunc(jobs, func(a, b *job) int {
+	slices.SortFunc(sorted, func(a, b *job) int {
 		return cmp.Or(cmp.Compare(a.submittedMS, b.submittedMS), cmp.Compare(a.id, b.id))
 	})
-	return jobs
+	return sorted
 }
 
 // policySnapshot describes jobs, capacity and service levels to the queue
