One interval between copies of a write; answers for other holders have a function

0.4 s between copies of a write without an answer stood in storage and in coordination. What a controller answers for a holder other than itself is redirectToHolder; another proxy that may answer is now named also while the holder only did not answer a relay. Tests: one loop for both tables of step-downs; a counter that was never read is gone.

--- a/internal/coordination/delegation_writes.go
+++ b/internal/coordination/delegation_writes.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"reedtrack/internal/protocol"
+	"reedtrack/internal/storage"
 )
 
 // A worker whose holder can't be reached is not answered before its delegation and then
@@ -20,7 +21,7 @@
 const (
 	// delegationRepeatInterval is how long a write may go without an answer before it
 	// is sent again, if the write budget has room beside other writes.
-	delegationRepeatInterval = 400 * time.Millisecond
+	delegationRepeatInterval = storage.HedgeInterval
 	// maxQuickRepeats is how often a write is sent again so soon.
 	maxQuickRepeats = 8
 	// delegationRetryInterval is the time between two copies otherwise.
--- a/internal/coordination/heartbeat.go
+++ b/internal/coordination/heartbeat.go
@@ -77,17 +77,21 @@
 	if response, ok := n.answerForHolder(report, shardIndex, now); ok {
 		return HeartbeatAnswer{Status: http.StatusOK, Response: response}, betterAnswer{}
 	}
+	return n.redirectToHolder(report, shardIndex, now)
+}
+
+// redirectToHolder redirects a machine to the holder of its shard, or to a controller that
+// may answer in the place of one that does not answer.
+func (n *Node) redirectToHolder(report *protocol.Heartbeat, shardIndex int, now time.Time) (HeartbeatAnswer, betterAnswer) {
 	holder := n.records.Shards[shardIndex].Value.Holder.Name
-	if n.heartbeatProxy.relayFailed[holder] && n.heartbeatProxy.isReachable(holder, now) {
-		return n.redirect(holder), betterAnswer{change: n.pendingDelegation(report, shardIndex)}
-	}
-	if n.peers[holder] == nil || n.heartbeatProxy.isReachable(holder, now) {
+	isReachable := n.peers[holder] == nil || n.heartbeatProxy.isReachable(holder, now)
+	if isReachable && !n.heartbeatProxy.relayFailed[holder] {
 		return n.redirect(holder), betterAnswer{relay: n.newRelayCall(report, shardIndex, now)}
 	}
 	if proxy := n.otherProxy(report.Machine, shardIndex, now); proxy != "" {
 		return n.redirect(proxy), betterAnswer{}
 	}
-	if n.heartbeatProxy.delegations[shardIndex] == nil {
+	if isReachable || n.heartbeatProxy.delegations[shardIndex] == nil {
 		return n.redirect(holder), betterAnswer{change: n.pendingDelegation(report, shardIndex)}
 	}
 	return n.redirect(holder), betterAnswer{change: n.pendingAcknowledgement(report, shardIndex)}
--- a/internal/coordination/isolation_behind_cut_test.go
+++ b/internal/coordination/isolation_behind_cut_test.go
@@ -8,14 +8,23 @@
 	"reedtrack/internal/storage"
 )
 
+// stepsDownWithin tells whether a controller steps down within a time in which it hears
+// nobody.
+func (n *Node) stepsDownWithin(silence time.Duration, now time.Time) bool {
+	const step = 500 * time.Millisecond // of the loop that detects failures
+	steppedDown := n.stepDownIfIsolated(now)
+	for end := now.Add(silence); now.Before(end) && !steppedDown; {
+		now = now.Add(step)
+		steppedDown = n.stepDownIfIsolated(now)
+	}
+	return steppedDown
+}
+
 // Guards against a holder that gives its session up during a cut between zones since the
 // few machines on its side are silent for a moment: its jobs then stand still until the
 // cut is over. It still steps down if that lasts, or if it should hear many.
 func TestFewSilentMachinesBesideDelegatedOnes(t *testing.T) {
-	const (
-		machinesPerZone = 4
-		step            = 500 * time.Millisecond // of the loop that detects failures
-	)
+	const machinesPerZone = 4
 	for _, c := range []struct {
 		name      string
 		delegated int // of the eight machines
@@ -40,12 +49,7 @@
 				delegated[name] = true
 			}
 			n.records.DelegatedMachines[s.index] = delegated
-			steppedDown := n.stepDownIfIsolated(now)
-			for end := now.Add(c.silence); now.Before(end) && !steppedDown; {
-				now = now.Add(step)
-				steppedDown = n.stepDownIfIsolated(now)
-			}
-			if steppedDown != c.stepsDown {
+			if steppedDown := n.stepsDownWithin(c.silence, now); steppedDown != c.stepsDown {
 				t.Errorf("steps down %v", steppedDown)
 			}
 		})
@@ -56,10 +60,7 @@
 // that a heartbeat proxy answers have never reported to it: the few that should report here
 // may be silent by coincidence. It still steps down if they stay silent, or are many.
 func TestNewHolderBesideDelegatedMachines(t *testing.T) {
-	const (
-		machinesPerZone = 4
-		step            = 500 * time.Millisecond
-	)
+	const machinesPerZone = 4
 	for _, c := range []struct {
 		name      string
 		delegated int // of the eight machines, none of which has reported
@@ -88,12 +89,7 @@
 				delegated[name] = true
 			}
 			n.records.DelegatedMachines[s.index] = delegated
-			steppedDown := n.stepDownIfIsolated(now)
-			for end := now.Add(c.silence); now.Before(end) && !steppedDown; {
-				now = now.Add(step)
-				steppedDown = n.stepDownIfIsolated(now)
-			}
-			if steppedDown != c.stepsDown {
+			if steppedDown := n.stepsDownWithin(c.silence, now); steppedDown != c.stepsDown {
 				t.Errorf("steps down %v", steppedDown)
 			}
 		})
--- a/internal/session/renewal_test.go
+++ b/internal/session/renewal_test.go
@@ -27,7 +27,6 @@
 	now            time.Time
 	expiresAt      time.Time // of the lease, at the store
 	copies         []*renewalCopy
-	sent           int
 }
 
 const modelTick = 50 * time.Millisecond
@@ -48,7 +47,6 @@
 		return
 	}
 	m.session.RecordSent(step, m.now)
-	m.sent++
 	delay := func() time.Duration { return time.Duration(m.random.Int64N(2 * int64(m.ttl))) }
 	copied := &renewalCopy{step: step, sentAt: m.now, arrivesAt: m.now.Add(delay())}
 	if m.random.IntN(3) > 0 {
--- a/internal/storage/hedged_txn.go
+++ b/internal/storage/hedged_txn.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// hedgeInterval is how long a hedged transaction may go without an answer before
+	// HedgeInterval is how long a hedged transaction may go without an answer before
 	// another copy is sent.
-	hedgeInterval = 400 * time.Millisecond
+	HedgeInterval = 400 * time.Millisecond
 	// maxTxnCopies is how many copies are sent at most.
 	maxTxnCopies = 5
 )
@@ -43,7 +43,7 @@
 		}()
 	}
 	send()
-	hedge := time.NewTicker(hedgeInterval)
+	hedge := time.NewTicker(HedgeInterval)
 	defer hedge.Stop()
 	for {
 		select {
--- a/internal/storage/hedged_txn_test.go
+++ b/internal/storage/hedged_txn_test.go
@@ -53,15 +53,15 @@
 		err      error
 	}{
 		"answered at once":           {[]int{ok}, 100, 1, 0, nil},
-		"second copy is answered":    {[]int{0, ok}, 100, 2, hedgeInterval, nil},
-		"second copy finds it done":  {[]int{0, conflict}, 100, 2, hedgeInterval, ErrConflict},
-		"a copy that is refused":     {[]int{0, refused, ok}, 100, 3, 2 * hedgeInterval, nil},
+		"second copy is answered":    {[]int{0, ok}, 100, 2, HedgeInterval, nil},
+		"second copy finds it done":  {[]int{0, conflict}, 100, 2, HedgeInterval, ErrConflict},
+		"a copy that is refused":     {[]int{0, refused, ok}, 100, 3, 2 * HedgeInterval, nil},
 		"refused at once":            {[]int{refused, ok}, 100, 1, 0, ErrRefused},
-		"no answer at all":           {nil, 100, maxTxnCopies, (maxTxnCopies-1)*hedgeInterval + leaseTimeout, ErrUnknown},
+		"no answer at all":           {nil, 100, maxTxnCopies, (maxTxnCopies-1)*HedgeInterval + leaseTimeout, ErrUnknown},
 		"no room for copies":         {[]int{0, ok}, 4, 1, leaseTimeout, ErrUnknown},
 		"no budget for the first":    {[]int{ok}, noBudget, 0, 0, ErrBudgetExhausted},
-		"the last copy is answered":  {[]int{0, 0, 0, 0, ok}, 100, maxTxnCopies, (maxTxnCopies - 1) * hedgeInterval, nil},
-		"late answers are discarded": {[]int{0, 0, ok, conflict}, 100, 3, 2 * hedgeInterval, nil},
+		"the last copy is answered":  {[]int{0, 0, 0, 0, ok}, 100, maxTxnCopies, (maxTxnCopies - 1) * HedgeInterval, nil},
+		"late answers are discarded": {[]int{0, 0, ok, conflict}, 100, 3, 2 * HedgeInterval, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
