--- a/internal/coordination/heartbeat_wait_test.go
+++ b/internal/coordination/heartbeat_wait_test.go
@@ -232,9 +232,14 @@
 		}, status: http.StatusOK, took: after},
 		"reached again":          {change: func(n *Node) { n.heartbeatProxy.recordReached("n0", n.now()) }, status: http.StatusMisdirectedRequest, took: after},
 		"session of holder over": {change: func(n *Node) { remove(n, storage.ControllerKey("n0")) }, status: http.StatusMisdirectedRequest, took: after},
-		"nothing changes":        {status: http.StatusMisdirectedRequest, took: maxHeartbeatWait},
-		"another zone":           {prepare: func(n *Node) { n.settings.Location = "a" }, status: http.StatusMisdirectedRequest},
-		"too many wait":          {prepare: func(n *Node) { n.heartbeatProxy.waitingHeartbeats = maxWaitingHeartbeats }, status: http.StatusMisdirectedRequest},
+		"shard acquired": {change: func(n *Node) {
+			n.records.SetMachineTypes(simMachineTypes)
+			put(t, n, storage.ShardKey(0), storage.ShardLease{Holder: storage.Controller{Name: "n1", Session: 5}, FencingToken: 3}, 30)
+			n.syncShards()
+		}, status: http.StatusOK, took: after},
+		"nothing changes": {status: http.StatusMisdirectedRequest, took: maxHeartbeatWait},
+		"another zone":    {prepare: func(n *Node) { n.settings.Location = "a" }, status: http.StatusMisdirectedRequest},
+		"too many wait":   {prepare: func(n *Node) { n.heartbeatProxy.waitingHeartbeats = maxWaitingHeartbeats }, status: http.StatusMisdirectedRequest},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/record_changes.go
+++ b/internal/coordination/record_changes.go
@@ -140,6 +140,7 @@
 	s.reconciled = false
 	s.updateReconciled()
 	n.shards[i] = s
+	n.heartbeatProxy.wakeWaitingHeartbeats()
 	slog.Info("shard acquired", "shard", i, "fencing_token", s.fencingToken, "machine_count", len(s.machines), "jobs", len(s.jobs))
 }
 
