No direct start on a machine before its worker has got an answer

Cause: a direct message renews no lease, and a machine accepted them as soon as it had reported. Now its heartbeat must have carried a fencing token, which a worker has from its first answer on.

--- a/internal/coordination/direct_dispatch.go
+++ b/internal/coordination/direct_dispatch.go
@@ -41,6 +41,7 @@
 // directState is what is known of direct messages to a machine.
 type directState struct {
 	reportedAt time.Time // when its newest heartbeat was received
+	answered   bool      // an answer to a heartbeat is known to have reached its worker
 	notBefore  time.Time // no direct message before then
 	failures   int       // messages in a row that were not answered
 }
@@ -134,10 +135,12 @@
 
 // acceptsDirect reports whether a direct message may be sent to the machine: it is
 // in use under this holder, its address is known, the last message is settled,
-// and the backoff after messages that failed is over.
+// and the backoff after messages that failed is over. The worker must have got an
+// answer to a heartbeat: until then its lease runs from its start, and what is started
+// on it by a direct message, which renews no lease, may end with that.
 func (m *machine) acceptsDirect(now time.Time) bool {
 	inUse := m.hasReported() && m.isReconciled() && !m.isExpired() && !m.releasing && !m.removed
-	return inUse && m.address != "" && !m.exchange.InFlight() && !now.Before(m.direct.notBefore)
+	return inUse && m.direct.answered && m.address != "" && !m.exchange.InFlight() && !now.Before(m.direct.notBefore)
 }
 
 // needsStart reports whether the start of an attempt on the machine waits to be
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -33,6 +33,9 @@
 	}
 	m.address, m.direct.reportedAt = report.Address, now
 	m.lastHeartbeat, m.health = now, failuredetector.Healthy
+	if report.FencingToken > 0 {
+		m.direct.answered = true
+	}
 	if sequence == dispatch.Overtaken {
 		// A newer answer to a direct message already told what it lists. The
 		// worker waits for orders all the same.
