--- a/internal/coordination/sim_direct_test.go
+++ b/internal/coordination/sim_direct_test.go
@@ -152,6 +152,7 @@
 			w.recordEventLocked("direct command held for seconds")
 		}
 		m.execute(c.Commands, c.sentAt)
+		c.scheduleCopy()
 	}
 	a.Report = m.report()
 	return a, true
--- a/internal/coordination/sim_faults_test.go
+++ b/internal/coordination/sim_faults_test.go
@@ -58,6 +58,7 @@
 	leaderChanges                faultKind = "leaders change one after the other"
 	heartbeatsSlow               faultKind = "reports and their answers take seconds"
 	directLate                   faultKind = "direct commands are held up and carried out late"
+	directRepeated               faultKind = "copies of direct commands arrive again"
 	cloudCallsLate               faultKind = "calls to the cloud are carried out late"
 )
 
@@ -93,6 +94,7 @@
 	concurrentReads     bool
 	quickBoots          bool // machines boot within two seconds
 	delayedCommands     delayedCommands
+	repeatedCommands    repeatedCommands
 	lateCloudRate       float64 // share of calls to the cloud
 }
 
@@ -327,6 +329,9 @@
 			held.from = w.targets(f.target)
 		}
 		return set(func() { w.delayedCommands = held }, func() { w.delayedCommands = delayedCommands{} })
+	case directRepeated:
+		repeated := repeatedCommands{share: f.share, maxDelay: cmp.Or(f.maxDelay, maxCommandDelay)}
+		return set(func() { w.repeatedCommands = repeated }, func() { w.repeatedCommands = repeatedCommands{} })
 	case cloudCallsLate:
 		return set(func() { w.lateCloudRate = f.share }, func() { w.lateCloudRate = 0 })
 	case cancelRunningJobs:
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -28,6 +28,8 @@
 	hungUntil        time.Time
 	resumedAt        time.Time // when its last hang ended
 	changed          bool
+	endedAttempts    map[string]string // causes of the ended attempts, by attemptName
+	answeredByProxy  bool              // the last answer that it obeyed was a proxy's
 	controller       int
 	leaseEpoch       uint64 // incremented with the session, to drop late answers
 	trace            heartbeatTrace
@@ -70,6 +72,16 @@
 	}
 }
 
+// exitTask ends a task; it stays in the reports.
+func (m *simWorker) exitTask(t *simTask, cause string) {
+	m.stopTask(t)
+	t.status, t.cause = protocol.Exited, cause
+	if m.endedAttempts == nil {
+		m.endedAttempts = map[string]string{}
+	}
+	m.endedAttempts[attemptName(t.name, t.attempt)] = cause
+}
+
 // startTask starts a task and checks the invariants.
 func (m *simWorker) startTask(t *simTask) {
 	w, j := m.w, t.job
@@ -214,17 +226,17 @@
 				m.w.recordEventLocked("task started on a newly booted machine")
 			}
 		case protocol.Running:
-			m.stopTask(t)
-			t.status, t.cause = protocol.Exited, protocol.CauseDone
+			cause := protocol.CauseDone
 			if m.failing {
-				t.cause = protocol.CauseFailed
-			} else {
+				cause = protocol.CauseFailed
+			}
+			m.exitTask(t, cause)
+			if !m.failing {
 				m.w.done[t.name] = true
 				m.w.recordTaskEnd(t.job)
 			}
 		case protocol.Checkpointing:
-			m.stopTask(t)
-			t.status, t.cause = protocol.Exited, protocol.CauseStopped
+			m.exitTask(t, protocol.CauseStopped)
 		}
 	}
 }
@@ -319,6 +331,7 @@
 			m.token, m.changed = orders.FencingToken, true
 		}
 		m.lastAcknowledged = sent
+		m.answeredByProxy = !relayed && !holds
 		switch {
 		case relayed: // its token was checked where the holder answered, see simPeer
 			w.recordEventLocked("a heartbeat is answered by a relay")
@@ -375,8 +388,7 @@
 			if t.status == protocol.Running && t.job.CheckpointIntervalSeconds > 0 && gracePeriod >= t.job.CheckpointSeconds {
 				t.status, t.nextChange = protocol.Checkpointing, time.Now().Add(config.Seconds(t.job.CheckpointSeconds))
 			} else if t.status != protocol.Checkpointing || gracePeriod == 0 {
-				m.stopTask(t)
-				t.status, t.cause = protocol.Exited, protocol.CauseStopped
+				m.exitTask(t, protocol.CauseStopped)
 			}
 		case protocol.VerbClear:
 			if t != nil && t.attempt == o.Attempt && t.status == protocol.Exited {
