--- a/internal/clusterstate/batch.go
+++ b/internal/clusterstate/batch.go
@@ -87,6 +87,10 @@
 		}
 		return err
 	}
+	if i, ok := storage.ParseShardFenceKey(path); ok {
+		b.report(ShardFenceChange{i})
+		return storeEntry(r.ShardFences, i, data, revision)
+	}
 	if name, ok := storage.ParseVersionMarkerKey(path); ok {
 		err := storeEntry(r.VersionMarkers, name, data, revision)
 		b.report(VersionMarkerChange{})
--- a/internal/clusterstate/changes.go
+++ b/internal/clusterstate/changes.go
@@ -34,6 +34,10 @@
 	Acknowledgement storage.DelegationAck
 }
 
+// ShardFenceChange is a change of the fencing token that a holder has issued to the machines
+// of a shard.
+type ShardFenceChange struct{ Shard int }
+
 // VersionMarkerChange is a change of the version markers.
 type VersionMarkerChange struct{}
 
@@ -54,6 +58,7 @@
 func (JobChange) isChange()           {}
 func (GrantChange) isChange()         {}
 func (FenceChange) isChange()         {}
+func (ShardFenceChange) isChange()    {}
 func (VersionMarkerChange) isChange() {}
 func (SchemaChange) isChange()        {}
 func (UnreadableRecord) isChange()    {}
--- a/internal/clusterstate/records.go
+++ b/internal/clusterstate/records.go
@@ -38,6 +38,9 @@
 	Delegations map[storage.DelegationID]Entry[storage.Delegation]
 	// DelegationAcks are the holders' acknowledgements of the delegations.
 	DelegationAcks map[storage.DelegationID]Entry[storage.DelegationAck]
+	// ShardFences are the newer fencing tokens of the shards' machines, by shard. See
+	// ShardFenceToken.
+	ShardFences map[int]Entry[storage.ShardFence]
 	// DelegatedMachines are the machines delegated to any proxy, by shard.
 	DelegatedMachines map[int]map[string]bool
 	// SchemaVersion is the schema version of the records.
@@ -78,6 +81,7 @@
 		CompletionChunks:  map[string]map[int]Entry[storage.CompletionChunk]{},
 		Delegations:       map[storage.DelegationID]Entry[storage.Delegation]{},
 		DelegationAcks:    map[storage.DelegationID]Entry[storage.DelegationAck]{},
+		ShardFences:       map[int]Entry[storage.ShardFence]{},
 		DelegatedMachines: map[int]map[string]bool{},
 		VersionMarkers:    map[string]Entry[storage.VersionMarker]{},
 		ShardOfMachine:    map[string]int{},
@@ -132,6 +136,17 @@
 	}
 }
 
+// ShardFenceToken returns the newest fencing token that the present holder of a shard has
+// issued to the shard's machines, and 0 if there is none.
+func (r *Records) ShardFenceToken(shard int) uint64 {
+	fence, lease := r.ShardFences[shard].Value, r.Shards[shard].Value
+	isByHolder := fence.Session == lease.Holder.Session && fence.ShardToken == lease.FencingToken
+	if !isByHolder || fence.FencingToken > r.LastToken.Value.Last {
+		return 0
+	}
+	return fence.FencingToken
+}
+
 // SizeOf returns the capacity of a machine type.
 func SizeOf(machineType protocol.MachineType) placement.Resources {
 	return placement.Resources{machineType.Cores, machineType.GPUs, machineType.MemoryGB}
--- a/internal/clusterstate/schema.go
+++ b/internal/clusterstate/schema.go
@@ -52,6 +52,12 @@
 	return r.isEnabled(storage.SchemaHeartbeatRelays)
 }
 
+// ShardFencesEnabled reports whether holders may issue newer fencing tokens to the machines of
+// their shards.
+func (r *Records) ShardFencesEnabled() bool {
+	return r.isEnabled(storage.SchemaShardFences)
+}
+
 // isEnabled reports whether every controller has run a version that supports a
 // schema version.
 func (r *Records) isEnabled(version int) bool {
--- a/internal/coordination/delegation_acks.go
+++ b/internal/coordination/delegation_acks.go
@@ -137,7 +137,7 @@
 // after its worker has received the machine's current fencing token.
 func (m *machine) hasStartInFlight() bool {
 	for _, run := range m.attempts {
-		if run.start.IsUnconfirmed() && run.directToken >= m.fenceToken {
+		if run.start.IsUnconfirmed() && run.start.Token() >= m.fenceToken {
 			return true
 		}
 	}
--- a/internal/coordination/delegation_fences.go
+++ b/internal/coordination/delegation_fences.go
@@ -125,6 +125,7 @@
 	for _, fence := range change.Acknowledgement.Fences {
 		if m := s.machines[fence.Machine]; m != nil && fence.FencingToken > s.machineToken(m) {
 			m.fenceToken = fence.FencingToken
+			m.exchange.ReleaseBelow(m.fenceToken)
 			slog.Info("machine fenced: it is delegated though a direct start to it is unanswered", "machine", fence.Machine, "token", fence.FencingToken, "starts", len(fence.Starts))
 		}
 	}
--- a/internal/coordination/direct_dispatch.go
+++ b/internal/coordination/direct_dispatch.go
@@ -144,10 +144,11 @@
 	return inUse && m.direct.answered && m.address != "" && !m.exchange.InFlight() && !now.Before(m.direct.notBefore)
 }
 
-// needsStart reports whether the start of an attempt on the machine is still
-// to be sent.
+// needsStart reports whether the start of an attempt on the machine is to be
+// sent directly. While the machine retains too many ended attempts, starts are
+// sent in the answers to its heartbeats alone.
 func (m *machine) needsStart(attempt *taskAttempt) bool {
-	return !attempt.stopRequested && !attempt.job.ended && !m.cordoned && !attempt.start.IsSent()
+	return !attempt.stopRequested && !attempt.job.ended && !m.cordoned && !attempt.start.IsSent() && m.exchange.CountRetained() < maxRetainedAttempts
 }
 
 // directRank ranks direct messages: those for urgent jobs and for jobs within
@@ -175,21 +176,22 @@
 // start may arrive again.
 func (t directTarget) buildMessage(now time.Time) directMessage {
 	s, m := t.shard, t.machine
-	message := directMessage{directTarget: t, address: m.address, tracker: m.exchange.BeginMessage()}
+	token := s.machineToken(m)
+	message := directMessage{directTarget: t, address: m.address, tracker: m.exchange.BeginMessage(token)}
 	message.payload = protocol.DirectCommands{
-		FencingToken: s.machineToken(m),
+		FencingToken: token,
 		Session:      message.tracker.Session,
 		Commands:     s.stopCommands(m, now),
 	}
-	for key, attempt := range m.attempts {
+	for _, attempt := range m.attempts {
 		if !m.needsStart(attempt) {
 			continue
 		}
 		message.tracker.AddStart(&attempt.start)
-		attempt.startSentAt, attempt.directToken = now, message.payload.FencingToken
+		attempt.startSentAt = now
 		message.starts = append(message.starts, attempt)
-		start := protocol.Command{Verb: protocol.VerbStart, Task: protocol.FormatTaskName(key.job, key.task), Attempt: attempt.number}
-		message.payload.Commands = append(message.payload.Commands, start)
+		message.payload.Commands = append(message.payload.Commands, attempt.command(protocol.VerbStart))
+		attempt.logStart("direct", token)
 	}
 	return message
 }
@@ -231,9 +233,9 @@
 	return false
 }
 
-// finishDirect records the outcome of a message's starts. The starts of an
-// unanswered message stay unconfirmed, and so does the message: they may still
-// arrive at any time.
+// finishDirect records the outcome of a message's starts. The starts of a
+// message that was carried out, or that may have been, may arrive at any time,
+// also again.
 func (s *shard) finishDirect(message *directMessage, answer DirectAnswer, now time.Time) {
 	m := message.machine
 	listed := map[taskKey]uint64{}
@@ -242,13 +244,10 @@
 			listed[parseTaskKey(t.Task)] = t.Attempt
 		}
 	}
-	settled := answer.Outcome != DirectUnanswered
+	settled := answer.Outcome == DirectUnsent || answer.Outcome == DirectRejected
 	for _, attempt := range message.starts {
-		switch {
-		case answer.Outcome == DirectUnanswered:
-		case answer.Outcome == DirectDone && listed[attempt.key] != attempt.number:
-			settled = false // answered without listing the attempt
-		default:
+		ignoresRepeats := s.guards&dispatch.WithoutRepeats != 0 && answer.Outcome == DirectDone && listed[attempt.key] == attempt.number
+		if settled || ignoresRepeats {
 			message.tracker.SettleStart(&attempt.start)
 		}
 	}
@@ -271,7 +270,7 @@
 	if s.guards&dispatch.WithoutResponseOrder != 0 {
 		for key, attempt := range m.attempts {
 			if attempt.start.IsSent() && !listed[key] {
-				s.dropAttempt(attempt)
+				s.dropAttempt(attempt, dropAbsent)
 			}
 		}
 	}
--- a/internal/coordination/disabled_guards_test.go
+++ b/internal/coordination/disabled_guards_test.go
@@ -36,6 +36,8 @@
 	guardStartsInFlight    = "a heartbeat proxy does not answer machines to which starts are under way"
 	guardDelegatedMachines = "machines that are delegated are not taken for silent"
 	guardProxyStops        = "a heartbeat proxy stops what is cancelled"
+	guardRepeatedStart     = "a direct start that was answered may arrive again"
+	guardReleaseFence      = "an ended attempt is released only under a newer token"
 	guardStartBeforeStop   = "a halt of an attempt that may be unknown goes out after its start"
 )
 
@@ -51,6 +53,8 @@
 	guardDelegatedMachines: {tweak: func(n *Node) { n.heartbeatProxy.ignoreDelegated = true }},
 	guardProxyStops:        {inWorld: disabledGuards{proxyStops: true}},
 	guardAttemptRetention:  disableGuard(dispatch.WithoutDeferredClear),
+	guardRepeatedStart:     disableGuard(dispatch.WithoutRepeats),
+	guardReleaseFence:      disableGuard(dispatch.WithoutFence),
 	guardStartBeforeStop:   disableGuard(dispatch.WithoutStartBeforeStop),
 }
 
@@ -100,6 +104,7 @@
 var guardsModelChecked = map[string]string{
 	guardStartBeforeStop: "TestStartsModelChecked/cancelled",
 	guardStartsInFlight:  "TestStartsModelChecked/proxy_answers",
+	guardReleaseFence:    "TestStartsModelChecked/repeated,_fenced",
 }
 
 // Every scenario detects its disabled guard. CI plays those that do so within a few
--- a/internal/coordination/heartbeat_proxy.go
+++ b/internal/coordination/heartbeat_proxy.go
@@ -135,7 +135,7 @@
 // machineToken returns the fencing token of a machine whose shard is held by another
 // controller.
 func (n *Node) machineToken(shardIndex int, name string) uint64 {
-	token := n.records.Shards[shardIndex].Value.FencingToken
+	token := max(n.records.Shards[shardIndex].Value.FencingToken, n.records.ShardFenceToken(shardIndex))
 	for _, lease := range n.records.Grants[shardIndex].Value.Machines {
 		if lease.Machine == name {
 			token = max(token, lease.FencingToken)
--- a/internal/coordination/leaving_own_room_test.go
+++ b/internal/coordination/leaving_own_room_test.go
@@ -28,7 +28,7 @@
 // endTask completes a task, whose capacity becomes the shard's spare capacity.
 func (w *waitingNode) endTask(attempt *taskAttempt) {
 	w.shard.completeTask(w.job, attempt.key.task)
-	w.shard.dropAttempt(attempt)
+	w.shard.dropAttempt(attempt, dropExited)
 	w.shard.spareCapacity = []spareCapacity{{Kind: attempt.machine.kind(), Free: attempt.machine.freeCapacity()}}
 }
 
--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -90,7 +90,7 @@
 	n.limitToFairShares(s)
 	for _, m := range s.sortedMachines() {
 		for _, r := range m.attempts {
-			s.dropAttempt(r)
+			s.dropAttempt(r, dropExited)
 			break
 		}
 		s.fillMachine(m, p.teams)
--- a/internal/coordination/loops.go
+++ b/internal/coordination/loops.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"reedtrack/internal/transport"
 )
 
 const (
@@ -171,6 +173,7 @@
 		n.planShard(s, input, full, now)
 	}
 	clear(n.removedMachines)
+	transport.RetainedAttempts.Set(float64(n.countRetainedAttempts()))
 	return time.Since(start), true
 }
 
@@ -243,6 +246,7 @@
 	n.advanceSchema(ctx)
 	n.writeJobs(ctx)
 	n.writeGrants(ctx)
+	n.writeShardFences(ctx)
 	n.migrateJobs(ctx)
 	n.deleteStaleChunks(ctx)
 	return 0
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -82,6 +82,7 @@
 	lastHeartbeat time.Time // the newest heartbeat, or answer to a direct message
 	lastAnswered  time.Time // the last answer that may have renewed the worker's lease
 	fenceToken    uint64    // newer fencing token that it got when it was delegated, see delegation_fences.go; 0: none
+	shardFence    uint64    // its shard's fence, if the machine uses it, see shard_fences.go; 0: none
 
 	// Its condition, see above.
 	state             machineState
@@ -140,11 +141,11 @@
 // markLost handles a machine that has certainly dropped all its tasks.
 func (s *shard) markLost(m *machine) {
 	m.state = machineExpired
-	m.exchange.ForgetUnanswered()
+	m.exchange.ReleaseAll()
 	clear(m.orphans)
 	clear(m.tasksToClear)
 	for _, attempt := range m.attempts {
-		s.dropAttempt(attempt)
+		s.dropAttempt(attempt, dropMachineLost)
 	}
 }
 
--- a/internal/coordination/model_check_test.go
+++ b/internal/coordination/model_check_test.go
@@ -55,6 +55,12 @@
 	holder   *shard
 }
 
+// modelCopy is a copy of a direct message that was carried out, and may be again.
+type modelCopy struct {
+	to      int
+	payload protocol.DirectCommands
+}
+
 // searchBounds limits how often the rarer events happen, so that the search reaches
 // greater depths.
 type searchBounds struct {
@@ -70,6 +76,8 @@
 	stop          int
 	proxyAnswers  int
 	fences        int
+	copies        int // copies of messages that were carried out
+	shardFences   int
 }
 
 // holderFault is a deliberate fault of a holder.
@@ -93,6 +101,7 @@
 	job       *job
 	workers   [modelWorkerCount]*modelWorker
 	direct    []*modelMessage
+	copies    []*modelCopy          // copies of direct messages that were carried out
 	late      []*protocol.Heartbeat // heartbeats that timed out at their workers
 	cancelled bool                  // the job was cancelled
 	taskDone  bool
@@ -181,6 +190,9 @@
 	for k, d := range x.direct {
 		x.addDeliveryEvents(events, fmt.Sprintf("%s%d", modelWorkerName(d.to), k), d)
 	}
+	for k, c := range x.copies {
+		events[fmt.Sprintf("again %s%d", modelWorkerName(c.to), k)] = func() { x.deliverCopy(c) }
+	}
 	x.addClusterEvents(events)
 	return events
 }
@@ -225,6 +237,13 @@
 			m.fenceToken = x.lastToken
 		}
 	}
+	if m.exchange.CountRetained() > 0 && x.bounds.shardFences > 0 {
+		events["fence shard "+modelWorkerName(i)] = func() {
+			x.bounds.shardFences--
+			x.lastToken++
+			s.applyFence(x.lastToken, x.now)
+		}
+	}
 }
 
 // addDirectMessageEvents adds the placement of the task and direct messages, with or
@@ -299,7 +318,7 @@
 // moveMachineToOtherShard moves a machine from the holder's shard to another shard.
 func (x *explorer) moveMachineToOtherShard(name string, s *shard, m *machine) {
 	for _, attempt := range m.attempts {
-		s.dropAttempt(attempt)
+		s.dropAttempt(attempt, dropUngranted)
 	}
 	delete(s.machines, name)
 	s.machineList = nil
@@ -445,10 +464,14 @@
 func (x *explorer) deliver(d *modelMessage) {
 	w := x.workers[d.to]
 	a := &DirectAnswer{Outcome: DirectRejected}
-	if d.payload.FencingToken >= w.token && d.payload.Session == w.session {
+	if w.accepts(d.payload) {
 		a.Outcome = DirectDone
 		w.token = d.payload.FencingToken
 		w.execute(d.payload.Commands, x)
+		if x.bounds.copies > 0 {
+			x.bounds.copies--
+			x.copies = append(slices.Clone(x.copies), &modelCopy{d.to, d.payload})
+		}
 	}
 	a.Report = x.heartbeatOf(d.to)
 	if d.reply = a; d.timedOut {
@@ -456,6 +479,22 @@
 	}
 }
 
+// deliverCopy makes the worker carry out a message again, if it still accepts it.
+func (x *explorer) deliverCopy(c *modelCopy) {
+	w := x.workers[c.to]
+	x.copies = slices.DeleteFunc(slices.Clone(x.copies), func(o *modelCopy) bool { return o == c })
+	if w.accepts(c.payload) {
+		w.token = c.payload.FencingToken
+		w.execute(c.payload.Commands, x)
+	}
+	w.sequence++ // the answer, which nobody receives
+}
+
+// accepts reports whether the worker carries out a direct message.
+func (w *modelWorker) accepts(payload protocol.DirectCommands) bool {
+	return payload.FencingToken >= w.token && payload.Session == w.session
+}
+
 func (x *explorer) removeMessage(d *modelMessage) {
 	x.direct = slices.DeleteFunc(slices.Clone(x.direct), func(o *modelMessage) bool { return o == d })
 }
@@ -466,6 +505,20 @@
 	}
 }
 
+// messagesInFlight lists the direct messages and copies that may still arrive.
+func (x *explorer) messagesInFlight() []modelCopy {
+	var all []modelCopy
+	for _, d := range x.direct {
+		if d.reply == nil {
+			all = append(all, modelCopy{d.to, d.payload})
+		}
+	}
+	for _, c := range x.copies {
+		all = append(all, *c)
+	}
+	return all
+}
+
 // violation describes how this state could violate an invariant; empty if it can't.
 func (x *explorer) violation() string {
 	type at struct {
@@ -485,14 +538,14 @@
 	if active > 1 {
 		return "ran_twice: on both workers"
 	}
-	for _, d := range x.direct {
-		w := x.workers[d.to]
-		if d.reply != nil || d.payload.FencingToken < w.token || d.payload.Session != w.session {
+	for _, inFlight := range x.messagesInFlight() {
+		w := x.workers[inFlight.to]
+		if !w.accepts(inFlight.payload) {
 			continue
 		}
-		for _, o := range d.payload.Commands {
+		for _, o := range inFlight.payload.Commands {
 			if t, ok := w.tasks[o.Task]; o.Verb == protocol.VerbStart && (!ok || !t.active && t.attempt != o.Attempt) {
-				startable = append(startable, at{d.to, o.Attempt})
+				startable = append(startable, at{inFlight.to, o.Attempt})
 				if x.cancelled && w.renewedAfterCancel {
 					return "ran_cancelled: a message in flight can start it although the worker's lease was renewed after the cancellation"
 				}
@@ -564,9 +617,9 @@
 		r, n := m.exchange.Sequences()
 		p("[%d %d %d %d %v %v%v%v %v %v", s.fencingToken, m.exchange.Session(), rank(r), rank(n), m.exchange.DebugState(), m.isReconciled(), m.isExpired(), m.hasReported(), m.tasksToClear, m.orphans)
 		for k, r := range m.attempts {
-			p("{%v %d %+v %v %v %s %d}", k, r.number, r.start, r.stopRequested, r.stopSentAt.IsZero(), r.status, r.directToken)
+			p("{%v %d %+v %v %v %s}", k, r.number, r.start, r.stopRequested, r.stopSentAt.IsZero(), r.status)
 		}
-		p("%d]", m.fenceToken)
+		p("%d %d %d]", m.fenceToken, m.shardFence, s.fenceToken)
 	}
 	for _, d := range x.direct {
 		p("D%d %d %d %v %v%s %v", d.to, d.payload.FencingToken, d.payload.Session, d.timedOut, d.message.tracker, formatCommands(d.payload.Commands), d.holder == x.holder)
@@ -575,6 +628,9 @@
 			rep(d.reply.Report)
 		}
 	}
+	for _, c := range x.copies {
+		p("C%d %d %d %s", c.to, c.payload.FencingToken, c.payload.Session, formatCommands(c.payload.Commands))
+	}
 	for _, r := range x.late {
 		rep(r)
 	}
@@ -633,20 +689,28 @@
 		bounds searchBounds
 		guards dispatch.DisabledGuards // disabled to verify that the search finds a violation
 		fault  holderFault             // injected for the same purpose
+		factor int                     // how many times more states the fault needs; 0: once
 	}{
-		"messages lost and late": {searchBounds{sent: 2, attempts: 2, ends: 1, late: 1}, dispatch.WithoutBinding, faultNone},
-		"answer lost":            {searchBounds{sent: 1, emptyMessages: 1, attempts: 2}, dispatch.WithoutResponseOrder, faultNone},
-		"ended early":            {searchBounds{sent: 1, attempts: 2, ends: 1}, dispatch.WithoutDeferredClear, faultNone},
-		"cancelled":              {searchBounds{sent: 1, attempts: 1, cancel: 1, ends: 1}, dispatch.WithoutStartBeforeStop, faultNone},
-		"stopped":                {searchBounds{sent: 2, attempts: 2, stop: 1}, dispatch.WithoutDeferredClear, faultNone},
-		"failover":               {searchBounds{sent: 2, attempts: 2, failovers: 1, ends: 1}, 0, faultSkipsReconciliation},
-		"machine released":       {searchBounds{sent: 1, attempts: 2, releases: 1, ends: 1}, 0, faultReleasesNonEmpty},
-		"proxy answers":          {searchBounds{sent: 1, attempts: 2, cancel: 1, proxyAnswers: 2}, 0, faultProxyDuringStart},
-		"fenced":                 {searchBounds{sent: 1, attempts: 2, cancel: 1, proxyAnswers: 2, fences: 1}, 0, faultProxyDuringStart},
-		"lease expired":          {searchBounds{sent: 1, attempts: 2, expires: 1, ends: 1}, 0, faultEarlyExpiry},
+		"messages lost and late": {searchBounds{sent: 2, attempts: 2, ends: 1, late: 1}, dispatch.WithoutBinding, faultNone, 0},
+		"answer lost":            {searchBounds{sent: 1, emptyMessages: 1, attempts: 2}, dispatch.WithoutResponseOrder, faultNone, 0},
+		"ended early":            {searchBounds{sent: 1, attempts: 2, ends: 1}, dispatch.WithoutDeferredClear, faultNone, 0},
+		"cancelled":              {searchBounds{sent: 1, attempts: 1, cancel: 1, ends: 1}, dispatch.WithoutStartBeforeStop, faultNone, 0},
+		"stopped":                {searchBounds{sent: 2, attempts: 2, stop: 1}, dispatch.WithoutDeferredClear, faultNone, 0},
+		"failover":               {searchBounds{sent: 2, attempts: 2, failovers: 1, ends: 1}, 0, faultSkipsReconciliation, 0},
+		"machine released":       {searchBounds{sent: 1, attempts: 2, releases: 1, ends: 1}, 0, faultReleasesNonEmpty, 0},
+		"proxy answers":          {searchBounds{sent: 1, attempts: 2, cancel: 1, proxyAnswers: 2}, 0, faultProxyDuringStart, 0},
+		"fenced":                 {searchBounds{sent: 1, attempts: 2, cancel: 1, proxyAnswers: 2, fences: 1}, 0, faultProxyDuringStart, 0},
+		"repeated":               {searchBounds{sent: 2, attempts: 2, ends: 1, copies: 1}, dispatch.WithoutRepeats, faultNone, 0},
+		"repeated, cancelled":    {searchBounds{sent: 1, attempts: 1, ends: 1, cancel: 1, copies: 1}, dispatch.WithoutRepeats, faultNone, 0},
+		"repeated, fenced":       {searchBounds{sent: 1, attempts: 1, ends: 1, copies: 1, shardFences: 1}, dispatch.WithoutFence, faultNone, 3},
+		"repeated, failover":     {searchBounds{sent: 1, attempts: 2, ends: 1, copies: 1, failovers: 1}, 0, faultSkipsReconciliation, 0},
+		"repeated, released":     {searchBounds{sent: 1, attempts: 2, ends: 1, copies: 1, releases: 1}, dispatch.WithoutRepeats, faultNone, 0},
+		"repeated, proxy":        {searchBounds{sent: 1, attempts: 2, ends: 1, copies: 1, proxyAnswers: 1, shardFences: 1}, dispatch.WithoutRepeats, faultNone, 0},
+		"lease expired":          {searchBounds{sent: 1, attempts: 2, expires: 1, ends: 1}, 0, faultEarlyExpiry, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			maxStates := maxStates * max(1, c.factor)
 			states, trace, why := explore(0, c.bounds, faultNone, maxStates)
 			if why != "" {
 				t.Errorf("%s\n%s", why, strings.Join(trace, "\n"))
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -49,15 +49,15 @@
 }
 
 // hasTaskFor reports whether the job has a pending task that may be started on a
-// machine. A task may not be started there while a delayed copy of the start order
-// of one of its ended attempts may still arrive: a new attempt would displace the
-// ended one, which makes the copy harmless. Other tasks of the job may be started.
+// machine. A task may not be started there while the start of one of its ended attempts
+// may arrive, late or again: a new attempt would displace the ended one, which makes that
+// harmless. Other tasks of the job may be started.
 func (j *job) hasTaskFor(m *machine) bool {
-	if m.exchange.CountUnanswered() == 0 {
+	if m.exchange.CountRetained() == 0 || len(j.retry) == 0 {
 		return true
 	}
 	blocked := 0
-	for key := range m.exchange.UnansweredTasks() {
+	for key := range m.exchange.RetainedTasks() {
 		if key.job == j.id && j.isTaskPending(key.task) {
 			blocked++
 		}
@@ -246,7 +246,7 @@
 	placed := p.placeTasks(j, count, machines)
 	if len(placed) < count {
 		for _, attempt := range placed {
-			p.shard.dropAttempt(attempt)
+			p.shard.dropAttempt(attempt, dropNotSent)
 		}
 		return 0
 	}
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -37,6 +37,7 @@
 	if report.FencingToken > 0 {
 		m.direct.answered = true
 	}
+	s.followWorkerToken(m, report.FencingToken)
 	if sequence == dispatch.Overtaken {
 		// A newer answer to a direct message already reported the tasks
 		// that it lists. The worker still waits for commands.
@@ -48,7 +49,7 @@
 	if m.isExpired() {
 		m.markReturned(now)
 	}
-	if report.FencingToken >= s.machineToken(m) {
+	if report.FencingToken >= max(s.fencingToken, m.lease.FencingToken) {
 		m.markReconciled()
 	}
 	m.recordReclaimNotice(report.InterruptionSeconds, now)
@@ -106,8 +107,8 @@
 		s.dirty = true
 		s.recordTaskError(m, attempt.job, now)
 	}
-	m.exchange.RecordEnded(attempt.key, reported.Attempt, &attempt.start)
-	s.dropAttempt(attempt)
+	m.exchange.RecordEnded(attempt.key, reported.Attempt, &attempt.start, s.machineToken(m))
+	s.dropAttempt(attempt, dropExited)
 	m.tasksToClear[attempt.key] = reported.Attempt
 }
 
@@ -216,7 +217,7 @@
 			continue
 		}
 		if !m.exchange.CanClear(key, attempt, s.guards) {
-			continue // a duplicate of its start command may still arrive and would start it again
+			continue // its start may arrive, also again, and would then start it
 		}
 		commands = append(commands, newCommand(protocol.VerbClear, key, attempt))
 	}
@@ -251,6 +252,7 @@
 			attempt.startSentAt = now
 		}
 		commands = append(commands, attempt.command(protocol.VerbStart))
+		attempt.logStart("answer", s.machineToken(m))
 	}
 	return commands
 }
--- a/internal/coordination/record_changes.go
+++ b/internal/coordination/record_changes.go
@@ -50,6 +50,8 @@
 		n.updateGrant(change)
 	case clusterstate.FenceChange:
 		n.applyFences(change)
+	case clusterstate.ShardFenceChange:
+		n.applyShardFence(change.Shard)
 	case clusterstate.VersionMarkerChange:
 		transport.UpgradedControllers.Set(float64(len(n.records.VersionMarkers)))
 	case clusterstate.SchemaChange:
@@ -142,6 +144,7 @@
 	s.reconciled = false
 	s.updateReconciled()
 	n.shards[i] = s
+	n.applyShardFence(i)
 	n.heartbeatProxy.wakeWaitingHeartbeats()
 	slog.Info("shard acquired", "shard", i, "fencing_token", s.fencingToken, "machine_count", len(s.machines), "jobs", len(s.jobs))
 }
--- a/internal/coordination/scenarios_test.go
+++ b/internal/coordination/scenarios_test.go
@@ -240,7 +240,7 @@
 		requiredEvents: map[string]int{"late command of a process that has ended carried out": 1}},
 	{name: "a start is held up for minutes, and its machine begins another session meanwhile",
 		detects: detection{guardUnansweredStart, "ran_twice", false},
-		jobs:    150, setUp: func(w *world) { w.allowMachines(24); w.maxTasks = 6 },
+		jobs:    150, setUp: func(w *world) { w.allowMachines(24); w.maxTasks = 6; w.withoutFences = true },
 		adjustJob: func(k int, j *protocol.Job, u *user) {
 			j.EstimatedSeconds, u.submitAfter = min(j.EstimatedSeconds, 15), time.Duration(k)*sec*2/3
 		},
@@ -327,6 +327,33 @@
 		script: []fault{{at: 40 * sec, kind: zonesSeparated, duration: 14 * sec}, {at: 60 * sec, kind: zonesSeparated, duration: 18 * sec}, {at: 85 * sec, kind: zonesSeparated, duration: 35 * sec},
 			{at: 20 * sec, kind: heartbeatCopiesLate, share: 0.4, duration: 120 * sec}, {at: 70 * sec, kind: controllerEnds, target: targetBusiest, duration: 400 * time.Millisecond}},
 		requiredEvents: map[string]int{"a heartbeat proxy answers": 5, "heartbeat copy": 50}},
+	{name: "a command that was answered arrives again, after its task has failed or ended and was placed elsewhere, and its controller is back within a second",
+		detects: detection{guardRepeatedStart, "ran_twice", true},
+		jobs:    100, setUp: func(w *world) { w.allowMachines(24); w.maxTasks = 3 },
+		adjustJob: func(k int, j *protocol.Job, u *user) {
+			j.EstimatedSeconds, u.submitAfter = 25, time.Duration(k)*sec
+		},
+		script: []fault{{at: 5 * sec, kind: directRepeated, share: 0.9, maxDelay: 20 * sec, duration: 115 * sec},
+			{at: 20 * sec, kind: machinesFailTasks, count: 5, duration: 15 * sec}, {at: 50 * sec, kind: machinesFailTasks, count: 5, duration: 15 * sec}, {at: 85 * sec, kind: machinesFailTasks, count: 5, duration: 15 * sec},
+			{at: 45 * sec, kind: controllerEnds, target: targetBusiest, duration: 300 * time.Millisecond}, {at: 80 * sec, kind: controllerEnds, target: targetAll, duration: 300 * time.Millisecond}},
+		requiredEvents: map[string]int{"copy of a start that ended error": 1, "copy of a start that ended done": 1, "copy of a start whose task runs elsewhere": 1,
+			"copy within a second": 1, "copy of a process that has ended": 1}},
+	{name: "a command that was answered arrives again after its job's cancellation was confirmed, also while the state service is out",
+		detects: detection{guardRepeatedStart, "", false},
+		jobs:    60, script: append(cancelFaults(4, 0, 30*sec, 45*sec, 60*sec, 62*sec, 75*sec, 90*sec),
+			fault{at: 5 * sec, kind: directRepeated, share: 0.9, maxDelay: 50 * sec, duration: 115 * sec}, fault{at: 60 * sec, kind: storeOutage, duration: 20 * sec}),
+		requiredEvents: map[string]int{"copy of a start of a cancelled job": 3, "copy of a start that ended halted": 3},
+		eventPairs:     []eventPair{{string(storeOutage) + ": over", "copy of a command carried out", 20 * sec}}},
+	{name: "a command that was answered arrives again minutes later, under a token that is no longer the newest",
+		detects: detection{guardReleaseFence, "", false},
+		jobs:    60, script: append(cancelFaults(3, 0, 30*sec, 50*sec, 70*sec), fault{at: 5 * sec, kind: directRepeated, share: 0.9, maxDelay: 100 * sec, duration: 140 * sec}),
+		requiredEvents: map[string]int{"copy of a start that ended done refused": 1, "copy of a start that ended halted refused": 1, "copy over a minute late": 1, "copy after a newer token": 3}},
+	{name: "a command that was answered arrives again at a machine with a new holder, with a new session or behind a heartbeat proxy",
+		detects: detection{guardRepeatedStart, "", false},
+		jobs:    40, adjustJob: inBothZones(20),
+		script: append(cancelFaults(2, 0, 62*sec, 75*sec), fault{at: 5 * sec, kind: directRepeated, share: 0.9, maxDelay: 60 * sec, duration: 115 * sec}, fault{at: 45 * sec, kind: zonesSeparated, duration: 50 * sec},
+			fault{at: 60 * sec, kind: controllerEnds, target: targetBusiest, duration: 6 * sec}, fault{at: 70 * sec, kind: machinesCannotSend, count: 5, duration: 30 * sec}),
+		requiredEvents: map[string]int{"copy after the next holder's first": 1, "copy to a machine behind a proxy": 1, "copy to the machine's next session": 1}},
 }
 
 // inBothZones makes half of the jobs run in each zone, for a long time.
--- a/internal/coordination/shard.go
+++ b/internal/coordination/shard.go
@@ -68,6 +68,10 @@
 	spareCapacity      []spareCapacity              // free capacity that no pending task of the shard can use
 	migrationCheckedAt time.Time                    // when migrations to spare capacity elsewhere were last checked
 
+	// The newest fence of the shard, see shard_fences.go.
+	fenceToken uint64    // 0: none
+	fencedAt   time.Time // when its token was first known
+
 	// Writes of the grant, see writeGrants.
 	grantWritePending bool      // a write of the grant has not been answered yet
 	grantRevision     uint64    // revision of the last grant write that succeeded
@@ -105,9 +109,9 @@
 }
 
 // machineToken returns the fencing token to send to the workers of a machine: the newest
-// of the tokens of the shard, of the machine lease and of a fence.
+// of the tokens of the shard, of the machine lease and of the fences that it uses.
 func (s *shard) machineToken(m *machine) uint64 {
-	return max(s.fencingToken, m.lease.FencingToken, m.fenceToken)
+	return max(s.fencingToken, m.lease.FencingToken, m.fenceToken, m.shardFence)
 }
 
 // setGrant applies a changed grant record.
@@ -146,7 +150,7 @@
 // removeMachine removes a machine that is no longer granted, with its tasks.
 func (s *shard) removeMachine(m *machine) {
 	for _, attempt := range m.attempts {
-		s.dropAttempt(attempt)
+		s.dropAttempt(attempt, dropUngranted)
 	}
 	delete(s.machines, m.lease.Machine)
 }
--- a/internal/coordination/sim_direct_copies_test.go
+++ b/internal/coordination/sim_direct_copies_test.go
@@ -83,17 +83,21 @@
 func (c *simCommand) recordCopiedStart(m *simWorker, o protocol.Command, outcome string) {
 	w := c.w
 	id, _, _ := protocol.ParseTaskName(o.Task)
+	record := func(what string) {
+		w.recordEventLocked(what)
+		w.recordEventLocked(what + outcome)
+	}
 	if cause := m.endedAttempts[attemptName(o.Task, o.Attempt)]; cause != "" {
-		w.recordEventLocked("copy of a start that ended " + cause + outcome)
+		record("copy of a start that ended " + cause)
 	}
 	if elsewhere := w.taskWorker[o.Task]; elsewhere != nil && elsewhere != m {
-		w.recordEventLocked("copy of a start whose task runs elsewhere" + outcome)
+		record("copy of a start whose task runs elsewhere")
 	}
 	if t := m.tasks[o.Task]; t != nil && t.attempt > o.Attempt {
-		w.recordEventLocked("copy of a start whose task was placed there again" + outcome)
+		record("copy of a start whose task was placed there again")
 	}
 	if _, ok := w.cancelConfirmedAt[id]; ok {
-		w.recordEventLocked("copy of a start of a cancelled job" + outcome)
+		record("copy of a start of a cancelled job")
 	}
 }
 
--- a/internal/coordination/sim_faults_test.go
+++ b/internal/coordination/sim_faults_test.go
@@ -65,7 +65,7 @@
 // allFaultKinds lists the kinds that faultPairs combines.
 var allFaultKinds = []faultKind{controllerEnds, controllerPauses, storeRefusesOne, controllerIsolated, peersSeparated, workersSeparated, storeOutage, storeSlow, txnsLate, txnAnswersLost,
 	heartbeatCopiesLate, heartbeatCopiesForNextLeader, machinesCannotReceive, machinesCannotSend, machinesHang, machinesDie, machinesFailTasks, machinesReclaimed, directSlow, zoneIsolated, zoneIsolatedWithController, zonesSeparated, cloudOutage,
-	cancelRunningJobs, cancelEndingJobs, invalidRequests, concurrentReads, leaderChanges, heartbeatsSlow, directLate, cloudCallsLate}
+	cancelRunningJobs, cancelEndingJobs, invalidRequests, concurrentReads, leaderChanges, heartbeatsSlow, directLate, directRepeated, cloudCallsLate}
 
 // faultTarget selects the controllers that a fault affects, at the moment it begins.
 type faultTarget string
--- a/internal/coordination/sim_world_test.go
+++ b/internal/coordination/sim_world_test.go
@@ -38,6 +38,7 @@
 	fillMachines         int    // per shard
 	maxTasks             int    // maximum per job
 	withDependencies     bool   // some jobs have dependencies
+	withoutFences        bool   // no controller writes a shard's fence, as before all support them
 	upgrade              bool   // the controllers start as the previous version
 	limitsLowered        bool   // the store's limits have been lowered
 	jobsWithDependencies int    // number of jobs with dependencies
@@ -248,6 +249,7 @@
 	st := storage.NewClientWithTransport(wr, set.Deployment.State.RPS, set.Deployment.State.WriteRPS, 3)
 	n := w.newNode(i, &set, op, st, peers)
 	n.cpuTime = func() time.Duration { return 0 }
+	n.shardFencesDisabled = w.withoutFences
 	if w.tweak != nil {
 		w.tweak(n)
 	}
@@ -469,7 +471,7 @@
 					text += fmt.Sprintf(" %d on %s %s start %+v stopping %v,", t, r.machine.lease.Machine, r.status, r.start, r.stopRequested)
 				}
 				for _, m := range s.sortedMachines() {
-					text += fmt.Sprintf(" %s %v uses %v reconciled %v expired %v orphans %v runs unreadable job %v schedulable %v starts that may arrive %v;", m.lease.Machine, m.kind(), m.used, m.isReconciled(), m.isExpired(), m.orphans, m.runsUnreadableJob, m.isSchedulable(), slices.Collect(m.exchange.UnansweredTasks()))
+					text += fmt.Sprintf(" %s %v uses %v reconciled %v expired %v orphans %v runs unreadable job %v schedulable %v starts that may arrive %v;", m.lease.Machine, m.kind(), m.used, m.isReconciled(), m.isExpired(), m.orphans, m.runsUnreadableJob, m.isSchedulable(), slices.Collect(m.exchange.RetainedTasks()))
 				}
 				why[id] = text
 			}
--- a/internal/coordination/task_attempt.go
+++ b/internal/coordination/task_attempt.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"log/slog"
 	"time"
 
 	"reedtrack/internal/dispatch"
@@ -55,7 +56,6 @@
 	number        uint64 // attempt number on the wire; grows with every attempt of the shard
 	status        string // as last reported
 	start         dispatch.Start
-	directToken   uint64    // the fencing token under which its start was last sent directly
 	startedAt     time.Time // when it was first reported running
 	adopted       bool      // found running by this holder, placed by an earlier one
 	stopRequested bool      // it is to be stopped
@@ -99,6 +99,12 @@
 	return now.Sub(a.startedAt).Seconds() > 2*average+extraSeconds
 }
 
+// logStart logs that a start of the attempt is sent, in an answer or directly.
+func (a *taskAttempt) logStart(way string, token uint64) {
+	slog.Debug("start sent", "job", a.key.job, "task", a.key.task, "attempt", a.number, "machine", a.machine.lease.Machine,
+		"fencing_token", token, "session", a.machine.exchange.Session(), "way", way)
+}
+
 // command returns a command for the attempt, without further arguments.
 func (a *taskAttempt) command(verb string) protocol.Command {
 	return newCommand(verb, a.key, a.number)
@@ -154,12 +160,25 @@
 	j.addTaskResources(s.used, 1)
 }
 
+// dropReason is what proves that an attempt is not, or no longer, on its machine.
+type dropReason string
+
+const (
+	dropExited      dropReason = "reported as exited"
+	dropAbsent      dropReason = "not listed by a heartbeat"
+	dropNewSession  dropReason = "new session of the worker"
+	dropMachineLost dropReason = "machine expired or removed"
+	dropUngranted   dropReason = "machine left the grant"
+	dropNotSent     dropReason = "start not sent"
+)
+
 // dropAttempt removes an attempt that is certainly no longer on its machine.
-func (s *shard) dropAttempt(a *taskAttempt) {
+func (s *shard) dropAttempt(a *taskAttempt, reason dropReason) {
 	j, m := a.job, a.machine
 	if m.attempts[a.key] != a {
 		return
 	}
+	slog.Debug("attempt dropped", "job", a.key.job, "task", a.key.task, "attempt", a.number, "machine", m.lease.Machine, "reason", string(reason))
 	s.capacityFreed = true
 	s.recordLost(a)
 	delete(m.attempts, a.key)
@@ -200,7 +219,7 @@
 	if a.start.IsSent() {
 		return false
 	}
-	s.dropAttempt(a)
+	s.dropAttempt(a, dropNotSent)
 	return true
 }
 
@@ -218,7 +237,7 @@
 func (s *shard) dropSentAttempts(m *machine) {
 	for _, attempt := range m.attempts {
 		if attempt.start.IsSent() {
-			s.dropAttempt(attempt)
+			s.dropAttempt(attempt, dropNewSession)
 		}
 	}
 }
@@ -230,8 +249,8 @@
 // token that the worker has received.
 func (s *shard) dropAbsentAttempts(m *machine, listed map[taskKey]bool, token uint64) {
 	for key, attempt := range m.attempts {
-		if !listed[key] && attempt.start.ConfirmAbsent(token > attempt.directToken, s.guards) {
-			s.dropAttempt(attempt)
+		if !listed[key] && attempt.start.ConfirmAbsent(token, s.guards) {
+			s.dropAttempt(attempt, dropAbsent)
 		}
 	}
 }
--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -11,21 +11,25 @@
 // what can be concluded. The package does no I/O and reads no clock. It doesn't decide on
 // placement.
 //
-// # Starts that may arrive late
+// # Starts that may arrive late, or again
 //
 // A start is sent in the response to a heartbeat or in a direct message. The worker has
 // one heartbeat in flight at a time and discards late responses, so its next heartbeat
-// determines the outcome of a response. A direct message may arrive minutes late, and is
-// executed if worker and message still agree on fencing token and session. A start that
-// was sent directly therefore binds its task to the worker until one of these is known:
+// determines the outcome of a response. A direct message may arrive minutes late, and a
+// copy of it may arrive again after it was executed and answered. Each copy is executed if
+// worker and message still agree on fencing token and session. A start that was sent
+// directly therefore binds its task to the worker until one of these is known:
 //
-//   - The message was answered, or never sent.
+//   - The message was never sent, or the worker has rejected it.
 //   - The worker has begun a newer session or has received a higher token: it rejects the
 //     message from then on.
 //   - The worker has the attempt: repeating its start has no effect. To reach this
 //     state, the next response carries the same start again. It lasts until the worker
-//     clears the attempt, so the worker is not told to clear it while a copy may arrive
-//     (Exchange.CanClear).
+//     clears the attempt or replaces it by another attempt of the task.
+//
+// So an ended attempt is retained (Exchange.RecordEnded): it is neither cleared nor
+// replaced before all further messages to the worker have a higher token
+// (Exchange.ReleaseBelow). The caller obtains one while attempts are retained.
 //
 // docs/safety.md has the proof; the controller's tests verify it with the production code.
 package dispatch
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -24,15 +24,17 @@
 	newestMessage   uint64 // sequence number of the newest message of any kind
 	reported        bool   // a heartbeat has arrived
 
-	messages   uint64                // number of direct messages so far
-	inFlight   bool                  // the latest direct message is in flight
-	unanswered map[K]unansweredStart // ended attempts whose start may still arrive
+	messages uint64                // number of direct messages so far
+	inFlight bool                  // the latest direct message is in flight
+	retained map[K]retainedAttempt // ended attempts whose starts may arrive, again or for the first time
 }
 
-// unansweredStart is an attempt with the direct message that carried its start.
-type unansweredStart struct {
+// retainedAttempt is an ended attempt with the direct message that carried its start. The
+// worker must not forget it while it would accept the message.
+type retainedAttempt struct {
 	attempt uint64
 	message uint64
+	token   uint64 // fencing token of the message
 }
 
 // Session returns the newest session that the worker has reported.
@@ -56,7 +58,7 @@
 		newSession = session > x.session
 	}
 	if newSession {
-		x.ForgetUnanswered()
+		x.ReleaseAll()
 	}
 	x.session, x.newestHeartbeat, x.newestMessage, x.reported = session, sequence, sequence, true
 	return Fresh, newSession
@@ -74,9 +76,17 @@
 	return true
 }
 
-// ForgetUnanswered discards the unanswered starts. It is called when they can no
+// ReleaseAll releases all retained attempts. It is called when their starts can no
 // longer have an effect, because the worker rejects them or no longer exists.
-func (x *Exchange[K]) ForgetUnanswered() { clear(x.unanswered) }
+func (x *Exchange[K]) ReleaseAll() { clear(x.retained) }
+
+// ReleaseBelow releases the retained attempts whose starts have a lower fencing token. It is
+// called when every further message to the worker has at least this token. A worker that
+// obeys such a message rejects the starts from then on, and one that does not receive it
+// still has the attempts.
+func (x *Exchange[K]) ReleaseBelow(token uint64) {
+	maps.DeleteFunc(x.retained, func(_ K, r retainedAttempt) bool { return r.token < token })
+}
 
 // InFlight reports whether a direct message is in flight.
 func (x *Exchange[K]) InFlight() bool { return x.inFlight }
@@ -84,29 +94,32 @@
 // Message is a direct message to a worker.
 type Message struct {
 	Session uint64 // worker session for which it is sent
+	token   uint64
 	number  uint64
 }
 
-// BeginMessage begins a direct message. Only one may be in flight at a time.
-func (x *Exchange[K]) BeginMessage() Message {
+// BeginMessage begins a direct message with a fencing token. Only one may be in flight at a
+// time.
+func (x *Exchange[K]) BeginMessage(token uint64) Message {
 	x.messages++
 	x.inFlight = true
-	return Message{x.session, x.messages}
+	return Message{x.session, token, x.messages}
 }
 
 // AddStart records that the message carries a start.
-func (m Message) AddStart(s *Start) { s.unanswered, s.message = true, m.number }
+func (m Message) AddStart(s *Start) { s.mayArrive, s.message, s.token = true, m.number, m.token }
 
-// SettleStart records, for a start in the message, that the message was answered or never
-// sent. An executed start is then known (Start.MarkReported); any other may be sent again.
+// SettleStart records, for a start in the message, that no copy of the message has an effect:
+// it was never sent, or the worker has rejected it, as it will reject every copy. An
+// executed message settles nothing, since a copy of it may be executed again.
 func (m Message) SettleStart(s *Start) {
 	if s.message == m.number {
-		s.unanswered = false
+		s.mayArrive = false
 	}
 }
 
 // EndMessage records that the caller no longer waits for a response to the message.
-// settled reports that its outcome is known: it was answered, or never sent.
+// settled reports that no copy of it has an effect, see Message.SettleStart.
 func (x *Exchange[K]) EndMessage(m Message, settled bool) {
 	if m.number == x.messages {
 		x.inFlight = false
@@ -114,40 +127,41 @@
 	if !settled {
 		return
 	}
-	maps.DeleteFunc(x.unanswered, func(_ K, s unansweredStart) bool { return s.message == m.number })
+	maps.DeleteFunc(x.retained, func(_ K, r retainedAttempt) bool { return r.message == m.number })
 }
 
 // RecordEnded records that an attempt has ended or was dropped by the worker. The worker
-// should then clear the attempt, but not while a copy of its start may arrive (CanClear).
-func (x *Exchange[K]) RecordEnded(task K, attempt uint64, s *Start) {
-	if !s.unanswered {
+// should then clear the attempt, but not while its start may arrive (CanClear). token is the
+// fencing token of further messages to the worker.
+func (x *Exchange[K]) RecordEnded(task K, attempt uint64, s *Start, token uint64) {
+	if !s.mayArrive || s.token < token {
 		return
 	}
-	if x.unanswered == nil {
-		x.unanswered = map[K]unansweredStart{}
+	if x.retained == nil {
+		x.retained = map[K]retainedAttempt{}
 	}
-	x.unanswered[task] = unansweredStart{attempt, s.message}
+	x.retained[task] = retainedAttempt{attempt, s.message, s.token}
 }
 
 // CanClear reports whether the command to clear an ended attempt may be sent to the worker.
 func (x *Exchange[K]) CanClear(task K, attempt uint64, disabled DisabledGuards) bool {
-	s, found := x.unanswered[task]
-	return !found || s.attempt != attempt || disabled.has(WithoutDeferredClear)
+	r, found := x.retained[task]
+	return !found || r.attempt != attempt || disabled.has(WithoutDeferredClear)
 }
 
-// StartMayArrive reports whether a copy of an earlier attempt's start may still arrive. The
-// task must then not be started on this worker under another attempt, which would replace
-// the attempt that makes the copy harmless.
+// StartMayArrive reports whether the start of an ended attempt may arrive. The task must then
+// not be started on this worker under another attempt, which would replace the attempt that
+// makes the start harmless.
 func (x *Exchange[K]) StartMayArrive(task K) bool {
-	_, found := x.unanswered[task]
+	_, found := x.retained[task]
 	return found
 }
 
-// UnansweredTasks returns the tasks for which StartMayArrive is true.
-func (x *Exchange[K]) UnansweredTasks() iter.Seq[K] { return maps.Keys(x.unanswered) }
+// RetainedTasks returns the tasks for which StartMayArrive is true.
+func (x *Exchange[K]) RetainedTasks() iter.Seq[K] { return maps.Keys(x.retained) }
 
-// CountUnanswered returns the number of UnansweredTasks.
-func (x *Exchange[K]) CountUnanswered() int { return len(x.unanswered) }
+// CountRetained returns the number of RetainedTasks.
+func (x *Exchange[K]) CountRetained() int { return len(x.retained) }
 
 // Sequences returns the sequence numbers of the newest heartbeat and of the
 // newest message of any kind.
@@ -157,4 +171,4 @@
 
 // DebugState formats the internal state that other methods don't expose, for tests that
 // enumerate states.
-func (x *Exchange[K]) DebugState() string { return fmt.Sprint(x.messages, x.inFlight, x.unanswered) }
+func (x *Exchange[K]) DebugState() string { return fmt.Sprint(x.messages, x.inFlight, x.retained) }
--- a/internal/dispatch/exchange_test.go
+++ b/internal/dispatch/exchange_test.go
@@ -18,7 +18,7 @@
 
 // If either guard is disabled, the model detects a start that its holder does not expect.
 func TestModelFindsMissingGuards(t *testing.T) {
-	for name, disabled := range map[string]DisabledGuards{"binding": WithoutBinding, "memory": WithoutDeferredClear} {
+	for name, disabled := range map[string]DisabledGuards{"binding": WithoutBinding, "memory": WithoutDeferredClear, "repeats": WithoutRepeats, "fence": WithoutFence} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range 20000 {
 				task := ""
--- a/internal/dispatch/guards.go
+++ b/internal/dispatch/guards.go
@@ -9,6 +9,8 @@
 	WithoutBinding         DisabledGuards = 1 << iota // a start without a response binds its task
 	WithoutDeferredClear                              // an attempt is not cleared while a copy of its start may arrive
 	WithoutStartBeforeStop                            // the stop of an attempt that the worker may not have received is sent after its start
+	WithoutRepeats                                    // the start of an answered message may arrive again
+	WithoutFence                                      // a retained attempt is released only under a newer token
 	WithoutResponseOrder                              // a response to a direct message doesn't determine the outcome of the response to a heartbeat
 )
 
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -24,6 +24,7 @@
 	message        Message
 	starts         []modelStart
 	abandoned      bool // the holder no longer waits for the response
+	isCopy         bool // of a message that was executed before
 }
 
 type modelStart struct {
@@ -80,12 +81,12 @@
 	for task, s := range m.placed {
 		listed := w.hasAttempt(s)
 		switch {
-		case newSession && s.start.IsSent(), !listed && s.start.ConfirmAbsent(w.token > m.token, m.disabled):
+		case newSession && s.start.IsSent(), !listed && s.start.ConfirmAbsent(w.token, m.disabled):
 			delete(m.placed, task)
 		case listed:
 			s.start.MarkReported()
 			if w.attempts[task].ended {
-				m.exchange.RecordEnded(task, s.number, s.start)
+				m.exchange.RecordEnded(task, s.number, s.start, m.token)
 				m.toClear[task] = s.number
 				delete(m.placed, task)
 			}
@@ -133,7 +134,7 @@
 	if !m.exchange.HasReported() || m.exchange.InFlight() {
 		return
 	}
-	d := &modelMessage{token: m.token, session: m.exchange.Session(), message: m.exchange.BeginMessage()}
+	d := &modelMessage{token: m.token, session: m.exchange.Session(), message: m.exchange.BeginMessage(m.token)}
 	for _, s := range m.placed {
 		if !s.start.IsSent() {
 			d.message.AddStart(s.start)
@@ -166,18 +167,18 @@
 		}
 	}
 	w.sequence++
+	if accepted && !d.isCopy {
+		m.network = append(m.network, &modelMessage{token: d.token, session: d.session, starts: d.starts, abandoned: true, isCopy: true})
+	}
 	if d.abandoned {
 		return
 	}
-	settled := true
 	for _, s := range d.starts {
-		if accepted && w.attempts[s.task].number != s.number {
-			settled = false
-			continue
+		if !accepted || m.disabled.has(WithoutRepeats) && w.attempts[s.task].number == s.number {
+			d.message.SettleStart(s.start)
 		}
-		d.message.SettleStart(s.start)
 	}
-	m.exchange.EndMessage(d.message, settled)
+	m.exchange.EndMessage(d.message, !accepted)
 	if !accepted || !m.exchange.RecordDirectStatus(w.session, w.sequence) {
 		return
 	}
@@ -188,6 +189,16 @@
 	}
 }
 
+// fence makes all further messages carry a higher token.
+func (m *model) fence() {
+	if m.disabled.has(WithoutFence) {
+		m.exchange.ReleaseAll()
+		return
+	}
+	m.token++
+	m.exchange.ReleaseBelow(m.token)
+}
+
 // endAttempt ends the worker's attempt of a task.
 func (m *model) endAttempt(task string) {
 	if a, ok := m.worker.attempts[task]; ok {
@@ -250,6 +261,7 @@
 		"abandon messages": m.abandonMessages,
 		"attempt ends":     func() { m.endAttempt(tasks.Draw(t, "task")) },
 		"lease expires":    m.expireLease,
+		"fence":            m.fence,
 	}
 	names := slices.Sorted(maps.Keys(events))
 	m.sendHeartbeat(true)
--- a/internal/storage/doc.go
+++ b/internal/storage/doc.go
@@ -28,7 +28,7 @@
 //
 //	r/leader               Controller            the leader, under its lease
 //	r/alive/NAME           Controller            that controller, under its lease
-//	r/term                 FencingTokenCounter   the leader, with each grant
+//	r/term                 FencingTokenCounter   the leader, with each grant; the holder, with a fence
 //	r/shard/N              ShardLease            the leader
 //	r/grant/N              Grant                 the leader; the holder, to return machines or quota
 //	r/piece/N/K            GrantChunk            as r/grant/N
@@ -38,6 +38,7 @@
 //	r/done/ID/FROM         CompletionChunk       the holder; the leader deletes those of ended jobs
 //	r/deputy/N/NAME/K      Delegation            the heartbeat proxy, under its lease
 //	r/named/N/NAME/K       DelegationAck         the holder, under its lease
+//	r/fence/N              ShardFence            the holder, under its lease
 //	r/mark/NAME            VersionMarker         that controller
 //	r/form                 SchemaVersion         the leader, upwards only
 //	e/ID                   EndedJob              the holder, or any controller that cancels the job
@@ -51,7 +52,9 @@
 // Each grant of a shard or a machine carries a fencing token, which grows with
 // every grant. It is taken from r/term in the transaction that makes the grant,
 // under preconditions on r/term and r/leader: grants are therefore made one after
-// the other, and a late one fails. Workers obey the greatest token received.
+// the other, and a late one fails. A holder issues further tokens for the machines that it
+// holds, with a [MachineFence] or a [ShardFence], under preconditions on r/term and on its
+// shard. Workers obey the greatest token received.
 //
 // # Schema versions
 //
--- a/internal/storage/keys.go
+++ b/internal/storage/keys.go
@@ -27,6 +27,7 @@
 	completionChunkPrefix = "r/done/"
 	delegationPrefix      = "r/deputy/"
 	delegationAckPrefix   = "r/named/"
+	shardFencePrefix      = "r/fence/"
 )
 
 // ControllerKey is the key of a controller's own record, a [Controller].
@@ -132,6 +133,14 @@
 	return parseDelegationID(key, delegationAckPrefix)
 }
 
+// ShardFenceKey is the key of a shard's [ShardFence].
+func ShardFenceKey(shard int) string { return fmt.Sprintf("%s%d", shardFencePrefix, shard) }
+
+// ParseShardFenceKey returns the shard if key is a ShardFenceKey.
+func ParseShardFenceKey(key string) (shard int, ok bool) {
+	return parseIndexKey(key, shardFencePrefix)
+}
+
 // parseDelegationID supports controller names that contain slashes.
 func parseDelegationID(key, prefix string) (DelegationID, bool) {
 	rest, ok := strings.CutPrefix(key, prefix)
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -94,6 +94,15 @@
 	Starts       []FencedStart `json:"s,omitempty"` // those that were unanswered
 }
 
+// ShardFence is a newer fencing token of all machines of a shard, which its holder issues so
+// that workers reject the direct messages that it sent them under lower tokens. It is written
+// under the lease of the holder's session.
+type ShardFence struct {
+	Session      uint64 `json:"session"`
+	ShardToken   uint64 `json:"term"` // the shard's token, under which the holder holds it
+	FencingToken uint64 `json:"t"`
+}
+
 // FencedStart identifies an attempt of a task whose start was sent directly.
 type FencedStart struct {
 	Task    string `json:"p"`
--- a/internal/storage/schema.go
+++ b/internal/storage/schema.go
@@ -20,8 +20,11 @@
 	// SchemaHeartbeatRelays allows controllers to relay heartbeats to a holder: every
 	// holder supports such messages. See coordination.RelayedHeartbeat.
 	SchemaHeartbeatRelays = 6
+	// SchemaShardFences allows a holder to issue a newer fencing token to the machines of a
+	// shard with a ShardFence: every proxy uses it in its responses.
+	SchemaShardFences = 7
 	// SchemaLatest is the latest version supported by this program.
-	SchemaLatest = SchemaHeartbeatRelays
+	SchemaLatest = SchemaShardFences
 )
 
 // SchemaVersion is the schema version in use. It is raised once every controller has
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -52,6 +52,16 @@
 		Help:    "Time from when a machine was to be delegated to this controller until its holder's acknowledgement was known.",
 		Buckets: []float64{.1, .25, .5, 1, 2, 4, 6, 10, 15},
 	})
+	// ShardFences counts the fencing tokens that this controller issued to its shards.
+	ShardFences = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "reedtrack_shard_fences_total",
+		Help: "Newer fencing tokens issued to the machines of this controller's shards, after which direct commands sent before are rejected.",
+	})
+	// RetainedAttempts is the number of ended attempts that workers are not told to clear.
+	RetainedAttempts = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "reedtrack_retained_attempts",
+		Help: "Ended attempts kept on the machines of this controller's shards, since the direct commands that started them may arrive again.",
+	})
 	// BlockedJobs is the number of jobs in this controller's shards that are blocked by
 	// a dependency.
 	BlockedJobs = prometheus.NewGauge(prometheus.GaugeOpts{
@@ -61,7 +71,7 @@
 )
 
 func init() {
-	prometheus.MustRegister(requestsTotal, requestSeconds, RecordSchemaVersion, UpgradedControllers, BlockedJobs, HeartbeatRelays, AcknowledgementSeconds, LeaseRenewals)
+	prometheus.MustRegister(requestsTotal, requestSeconds, RecordSchemaVersion, UpgradedControllers, BlockedJobs, HeartbeatRelays, AcknowledgementSeconds, LeaseRenewals, ShardFences, RetainedAttempts)
 }
 
 // measure records the count and latency of requests of the given kind.
