--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -29,23 +29,23 @@
 
 // Node is one controller process.
 type Node struct {
-	settings            *config.Settings
-	latency             *latency.Recorder // nil: latency is not recorded
-	operator            config.Operator
-	timing              config.Timing
-	store               *storage.Client
-	cloud               Cloud
-	peers               map[string]Peer
-	direct              DirectSender
-	limiter             *dispatch.Limiter
-	guards              dispatch.DisabledGuards // disabled one at a time by tests
-	shardFencesDisabled bool                    // set by tests: no shard is fenced, as before every controller supports that
-	now                 func() time.Time
-	cpuTime             func() time.Duration                     // CPU time that the process has used
-	findEndedJob        func(id string) (storage.EndedJob, bool) // returns how a job ended, if its end is confirmed to be stored
-	replica             *storage.Replica
-	readIndex           *storage.ReadIndex
-	confirm             func(context.Context) error // updates the replicated records below with everything that was committed before the call
+	settings     *config.Settings
+	latency      *latency.Recorder // nil: latency is not recorded
+	operator     config.Operator
+	timing       config.Timing
+	store        *storage.Client
+	cloud        Cloud
+	peers        map[string]Peer
+	direct       DirectSender
+	limiter      *dispatch.Limiter
+	guards       dispatch.DisabledGuards // disabled one at a time by tests
+	withoutFence bool                    // set by tests: no shard is fenced, as before every controller supports that
+	now          func() time.Time
+	cpuTime      func() time.Duration                     // CPU time that the process has used
+	findEndedJob func(id string) (storage.EndedJob, bool) // returns how a job ended, if its end is confirmed to be stored
+	replica      *storage.Replica
+	readIndex    *storage.ReadIndex
+	confirm      func(context.Context) error // updates the replicated records below with everything that was committed before the call
 
 	wake wakeChannels
 
--- a/internal/coordination/shard_fences.go
+++ b/internal/coordination/shard_fences.go
@@ -53,7 +53,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
-	if n.shardFencesDisabled || !n.records.ShardFencesEnabled() || !n.holdsLease(now) {
+	if n.withoutFence || !n.records.ShardFencesEnabled() || !n.holdsLease(now) {
 		return txn, false
 	}
 	token := n.nextFencingToken()
--- a/internal/coordination/sim_world_test.go
+++ b/internal/coordination/sim_world_test.go
@@ -249,7 +249,7 @@
 	st := storage.NewClientWithTransport(wr, set.Deployment.State.RPS, set.Deployment.State.WriteRPS, 3)
 	n := w.newNode(i, &set, op, st, peers)
 	n.cpuTime = func() time.Duration { return 0 }
-	n.shardFencesDisabled = w.withoutFences
+	n.withoutFence = w.withoutFences
 	if w.tweak != nil {
 		w.tweak(n)
 	}
