--- a/internal/coordination/plan_bench_test.go
+++ b/internal/coordination/plan_bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"reedtrack/internal/dispatch"
 	"reedtrack/internal/placement"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
@@ -97,6 +98,37 @@
 	})
 }
 
+// BenchmarkHeartbeatWithRetainedAttempts measures a heartbeat of 8 running tasks and of ended
+// attempts that the worker is not told to clear, up to the maximum, with its answer.
+func BenchmarkHeartbeatWithRetainedAttempts(b *testing.B) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	const token = 2
+	for _, retained := range []int{0, 16, maxRetainedAttempts} {
+		b.Run(fmt.Sprint(retained), func(b *testing.B) {
+			now := time.Now()
+			s, p := busyShard(500, now)
+			s.plan(p, true, now)
+			m := s.sortedMachines()[0]
+			s.buildCommands(m, now)
+			r := runningReport(m, 1, token)
+			message := m.exchange.BeginMessage(token)
+			for i := range retained {
+				var start dispatch.Start
+				message.AddStart(&start)
+				key := taskKey{"wk-999999", i}
+				m.exchange.RecordEnded(key, 1, &start, token)
+				r.Tasks = append(r.Tasks, protocol.TaskStatus{Task: protocol.FormatTaskName(key.job, i), Attempt: 1, State: protocol.Exited, Cause: protocol.CauseDone})
+			}
+			m.exchange.EndMessage(message, false)
+			for b.Loop() {
+				r.Sequence++
+				s.receiveHeartbeat(m, r, now)
+				s.buildCommands(m, now)
+			}
+		})
+	}
+}
+
 // BenchmarkFailover measures the failover of a shard: loading its records, each
 // machine's first heartbeat to the new holder, with its running tasks, and the first
 // plan.
