--- a/internal/coordination/sim_direct_copies_test.go
+++ b/internal/coordination/sim_direct_copies_test.go
@@ -37,12 +37,11 @@
 	w := c.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m := w.workers[c.address]
-	if m == nil || m.dead || m.session == 0 || m.cannotReceive || time.Now().Before(m.hungUntil) || w.ctx.Err() != nil {
+	m := c.awaitReceiver()
+	if m == nil {
 		return
 	}
-	m.checkLease(time.Now())
-	accepted := c.FencingToken >= m.token && c.Session == m.session
+	accepted := c.isAccepted(m)
 	c.recordCopy(m, delay, accepted)
 	if accepted {
 		m.token = c.FencingToken
--- a/internal/coordination/sim_direct_test.go
+++ b/internal/coordination/sim_direct_test.go
@@ -126,19 +126,12 @@
 	w := c.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m := w.workers[c.address]
-	for m != nil && time.Now().Before(m.hungUntil) && w.ctx.Err() == nil {
-		// The message stays in the socket until the machine resumes.
-		w.mu.Unlock()
-		time.Sleep(100 * time.Millisecond)
-		w.mu.Lock()
-	}
-	if m == nil || m.dead || m.session == 0 || m.cannotReceive || w.ctx.Err() != nil {
+	m := c.awaitReceiver()
+	if m == nil {
 		return DirectAnswer{}, false
 	}
-	m.checkLease(time.Now())
+	accepted := c.isAccepted(m)
 	a := DirectAnswer{Outcome: DirectRejected}
-	accepted := c.FencingToken >= m.token && c.Session == m.session
 	if c.delayed {
 		c.recordLateCommand(m, accepted)
 	}
@@ -158,6 +151,29 @@
 	return a, true
 }
 
+// awaitReceiver returns the worker that the message reaches, or nil. On a machine that hangs
+// the message stays in the socket until the machine resumes. The caller holds the world's lock,
+// which is released meanwhile.
+func (c *simCommand) awaitReceiver() *simWorker {
+	w := c.w
+	m := w.workers[c.address]
+	for m != nil && time.Now().Before(m.hungUntil) && w.ctx.Err() == nil {
+		w.mu.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		w.mu.Lock()
+	}
+	if m == nil || m.dead || m.session == 0 || m.cannotReceive || w.ctx.Err() != nil {
+		return nil
+	}
+	return m
+}
+
+// isAccepted reports whether the worker's token and session allow the message.
+func (c *simCommand) isAccepted(m *simWorker) bool {
+	m.checkLease(time.Now())
+	return c.FencingToken >= m.token && c.Session == m.session
+}
+
 // recordLateCommand records the circumstances of a late command, to prove that a scenario
 // took place.
 func (c *simCommand) recordLateCommand(m *simWorker, accepted bool) {
