--- a/internal/coordination/repeated_command_test.go
+++ b/internal/coordination/repeated_command_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"reedtrack/internal/protocol"
@@ -41,19 +40,21 @@
 // failed and were placed elsewhere, were cancelled or completed, and their processes are back
 // within a second.
 func TestRepeatedCommandsRunNoTaskTwice(t *testing.T) {
-	for seed := uint64(1); seed <= 4; seed++ {
-		var w *world
-		synctest.Test(t, func(t *testing.T) {
-			w = newWorld(seed, nil)
-			w.script = append(cancelFaults(3, 0, 30*sec, 50*sec, 70*sec),
-				fault{at: 5 * sec, kind: directRepeated, share: 0.7, maxDelay: 20 * sec, duration: 110 * sec},
-				fault{at: 20 * sec, kind: machinesFailTasks, count: 3, duration: 70 * sec},
-				fault{at: 45 * sec, kind: controllerEnds, target: targetBusiest, duration: 300 * time.Millisecond})
-			w.play(40, 120*sec, 400*sec)
-		})
-		w.check(t)
+	runSeeds(t, 8, func(t *testing.T, w *world) {
+		w.withDependencies = false
+		w.allowMachines(24)
+		w.maxTasks = 3
+		w.adjustJob = func(k int, j *protocol.Job, u *user) {
+			j.EstimatedSeconds, u.submitAfter = 25, time.Duration(k)*sec*3/2
+		}
+		w.script = append(cancelFaults(3, 0, 30*sec, 50*sec, 70*sec),
+			fault{at: 5 * sec, kind: directRepeated, share: 0.9, maxDelay: 20 * sec, duration: 110 * sec},
+			fault{at: 20 * sec, kind: machinesFailTasks, count: 5, duration: 15 * sec},
+			fault{at: 60 * sec, kind: machinesFailTasks, count: 5, duration: 15 * sec},
+			fault{at: 45 * sec, kind: controllerEnds, target: targetBusiest, duration: 300 * time.Millisecond})
+		w.play(70, 120*sec, 400*sec)
 		if len(w.events["copy of a command carried out"]) == 0 {
 			t.Error("no copy was carried out")
 		}
-	}
+	})
 }
