A start whose message was refused stays bound if its worker lists it

A direct message that is refused (409) counted as never carried out, and its starts as not sent. If a copy of it was carried out before the message that is answered, and the worker had a newer token from an answer to a heartbeat in between, the attempt ran while its holder took it for unsent and could start the task elsewhere. The answer carries the worker's status: an attempt that it lists stays bound. TestRejectedStartOfListedAttemptStaysBound fails without the check; the explorer delivers a copy before its message (case 'repeated before', which does not reach the refusal within its bound).

--- a/internal/coordination/direct_dispatch.go
+++ b/internal/coordination/direct_dispatch.go
@@ -235,19 +235,15 @@
 
 // finishDirect records the outcome of a message's starts. The starts of a
 // message that was carried out, or that may have been, may arrive at any time,
-// also again.
+// also again. So may one that was rejected, if its worker lists the attempt: a
+// copy was carried out before.
 func (s *shard) finishDirect(message *directMessage, answer DirectAnswer, now time.Time) {
 	m := message.machine
-	listed := map[taskKey]uint64{}
-	if answer.Outcome == DirectDone {
-		for _, t := range answer.Report.Tasks {
-			listed[parseTaskKey(t.Task)] = t.Attempt
-		}
-	}
 	settled := answer.Outcome == DirectUnsent || answer.Outcome == DirectRejected
 	for _, attempt := range message.starts {
-		ignoresRepeats := s.guards&dispatch.WithoutRepeats != 0 && answer.Outcome == DirectDone && listed[attempt.key] == attempt.number
-		if settled || ignoresRepeats {
+		isListed := answer.Report.ListsAttempt(attempt.name(), attempt.number)
+		ignoresRepeats := s.guards&dispatch.WithoutRepeats != 0 && answer.Outcome == DirectDone && isListed
+		if settled && !isListed || ignoresRepeats {
 			message.tracker.SettleStart(&attempt.start)
 		}
 	}
--- a/internal/coordination/model_check_test.go
+++ b/internal/coordination/model_check_test.go
@@ -51,6 +51,7 @@
 	message  directMessage
 	payload  protocol.DirectCommands
 	timedOut bool          // its sender no longer waits
+	copied   bool          // a copy of it was delivered before
 	reply    *DirectAnswer // the answer in flight, once the message was executed
 	holder   *shard
 }
@@ -77,6 +78,7 @@
 	proxyAnswers  int
 	fences        int
 	copies        int // copies of messages that were carried out
+	earlyCopies   int // copies that arrive before the message itself
 	shardFences   int
 }
 
@@ -333,8 +335,17 @@
 func (x *explorer) addDeliveryEvents(events map[string]func(), at string, d *modelMessage) {
 	if d.reply == nil {
 		events["arrives "+at] = func() { x.deliver(d) }
-		if !d.timedOut {
+		if x.bounds.earlyCopies > 0 {
+			events["copy before "+at] = func() {
+				x.bounds.earlyCopies--
+				d.copied = true
+				x.deliverCopy(&modelCopy{d.to, d.payload})
+			}
+		}
+		if !d.timedOut && !d.copied {
 			events["not sent "+at] = func() { x.finishDirect(d, DirectAnswer{Outcome: DirectUnsent}); x.removeMessage(d) }
+		}
+		if !d.timedOut {
 			events["unanswered "+at] = func() { x.finishDirect(d, DirectAnswer{}); d.timedOut = true }
 		}
 	} else if !d.timedOut {
@@ -622,7 +633,7 @@
 		p("%d %d %d]", m.fenceToken, m.shardFence, s.fenceToken)
 	}
 	for _, d := range x.direct {
-		p("D%d %d %d %v %v%s %v", d.to, d.payload.FencingToken, d.payload.Session, d.timedOut, d.message.tracker, formatCommands(d.payload.Commands), d.holder == x.holder)
+		p("D%d %d %d %v%v %v%s %v", d.to, d.payload.FencingToken, d.payload.Session, d.timedOut, d.copied, d.message.tracker, formatCommands(d.payload.Commands), d.holder == x.holder)
 		if d.reply != nil {
 			p("%d", d.reply.Outcome)
 			rep(d.reply.Report)
@@ -705,6 +716,7 @@
 		"repeated, fenced":       {searchBounds{sent: 1, attempts: 1, ends: 1, copies: 1, shardFences: 1}, dispatch.WithoutFence, faultNone, 3},
 		"repeated, failover":     {searchBounds{sent: 1, attempts: 2, ends: 1, copies: 1, failovers: 1}, 0, faultSkipsReconciliation, 0},
 		"repeated, released":     {searchBounds{sent: 1, attempts: 2, ends: 1, copies: 1, releases: 1}, dispatch.WithoutRepeats, faultNone, 0},
+		"repeated before":        {searchBounds{sent: 1, attempts: 2, ends: 1, earlyCopies: 1}, dispatch.WithoutBinding, faultNone, 0},
 		"repeated, proxy":        {searchBounds{sent: 1, attempts: 2, ends: 1, copies: 1, proxyAnswers: 1, shardFences: 1}, dispatch.WithoutRepeats, faultNone, 0},
 		"lease expired":          {searchBounds{sent: 1, attempts: 2, expires: 1, ends: 1}, 0, faultEarlyExpiry, 0},
 	} {
--- a/internal/coordination/repeated_command_test.go
+++ b/internal/coordination/repeated_command_test.go
@@ -58,3 +58,23 @@
 		}
 	})
 }
+
+// Guards against a start that is sent elsewhere because its message was refused, although a copy
+// of the message was carried out before.
+func TestRejectedStartOfListedAttemptStaysBound(t *testing.T) {
+	for _, isListed := range []bool{false, true} {
+		now := time.Now()
+		s, m, j := oneTask(now)
+		s.receiveHeartbeat(m, &protocol.Heartbeat{Machine: "a", Address: "a:1", Session: 1, Sequence: 1, FencingToken: 2}, now)
+		attempt := s.place(j, j.takePendingTask(), m)
+		message := directTarget{s, m}.buildMessage(now)
+		status := &protocol.Heartbeat{Machine: "a", Session: 1, Sequence: 2, FencingToken: 3}
+		if isListed {
+			status.Tasks = []protocol.TaskStatus{{Task: "wk-1/0", Attempt: attempt.number, State: protocol.Running}}
+		}
+		s.finishDirect(&message, DirectAnswer{Outcome: DirectRejected, Report: status}, now)
+		if s.dropUnsent(attempt) == isListed {
+			t.Errorf("listed %v: the task is released: %v", isListed, !isListed)
+		}
+	}
+}
--- a/internal/coordination/task_attempt.go
+++ b/internal/coordination/task_attempt.go
@@ -105,6 +105,9 @@
 		"fencing_token", token, "session", a.machine.exchange.Session(), "way", way)
 }
 
+// name returns the name of the attempt's task on the wire.
+func (a *taskAttempt) name() string { return protocol.FormatTaskName(a.key.job, a.key.task) }
+
 // command returns a command for the attempt, without further arguments.
 func (a *taskAttempt) command(verb string) protocol.Command {
 	return newCommand(verb, a.key, a.number)
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -67,6 +68,12 @@
 	Tasks []TaskStatus `json:"parts"`
 }
 
+// ListsAttempt reports whether the heartbeat lists an attempt of a task, in any state. A nil
+// heartbeat lists none.
+func (h *Heartbeat) ListsAttempt(task string, attempt uint64) bool {
+	return h != nil && slices.ContainsFunc(h.Tasks, func(t TaskStatus) bool { return t.Task == task && t.Attempt == attempt })
+}
+
 // ParseHeartbeat reads and validates a worker's heartbeat. Every error is an
 // *InvalidFieldError.
 func ParseHeartbeat(raw []byte) (*Heartbeat, error) {
