--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -83,7 +83,7 @@
 	backoff        time.Duration   // between the last two attempts of a job that fails on every machine
 	retryAfter     time.Time
 
-	// Waiting while another shard has spare capacity, see migration_to_room.go.
+	// Waiting while another shard has spare capacity, see migration_to_spare_capacity.go.
 	unplacedSince time.Time  // since when every plan has left one of its tasks unplaced; zero: the last plan did not
 	waitReason    waitReason // as of the last plan
 	drainUntil    time.Time  // until when its pending tasks are not placed, so that it can migrate; zero: it is not being drained
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -45,7 +45,7 @@
 //	  (drain.go)
 //	markMachinesInUse         attempts                       idleSince                   M
 //	updateSpareCapacity       free capacity                  spareCapacity               M
-//	  (shard_room.go)
+//	  (spare_capacity.go)
 //
 // The order matters:
 //
--- a/internal/coordination/service_levels.go
+++ b/internal/coordination/service_levels.go
@@ -43,10 +43,6 @@
 	return s.byClass[j.spec.Class].IsBelowMinimum() || s.byTeam[j.spec.Team].IsBelowMinimum()
 }
 
-// completionObjective is the kind of objective, as named in the settings, for the time
-// within which jobs of a class should complete.
-const completionObjective = "finished"
-
 // deadlineSeconds returns a job's deadline in seconds after its submission: the earlier of
 // the one in its spec and the one of its class, or infinity if there is none.
 func deadlineSeconds(record *storage.Job, objectives []config.Objective) float64 {
@@ -55,7 +51,7 @@
 		deadline = *record.Spec.DeadlineSeconds
 	}
 	for _, objective := range objectives {
-		if objective.Kind == completionObjective && objective.Class == record.Spec.Class {
+		if objective.Kind == objectiveFinished && objective.Class == record.Spec.Class {
 			deadline = min(deadline, objective.WithinS)
 		}
 	}
--- a/internal/coordination/sim_world_test.go
+++ b/internal/coordination/sim_world_test.go
@@ -28,7 +28,6 @@
 
 	nodes                []*simNode
 	workers              map[string]*simWorker
-	ready                map[string]time.Time // when new machines come up
 	machinesByRequest    map[string][]string
 	lastMachineNumber    int
 	cloudUnavailable     bool
@@ -126,7 +125,7 @@
 	d.Cloud.RPS, d.Cloud.ListLagS = 10, 2
 	d.Limits.CPUShare = 0.1
 	return &world{settings: set, store: emulator.NewKVStore(), maxMachines: 10, fillMachines: 2, maxTasks: 9, faultSettings: faultSettings{txnFailureRate: 0.02}, linkLoss: defaultLinkLoss, random: rand.New(rand.NewPCG(seed, 1)), tweak: tweak,
-		workers: map[string]*simWorker{}, ready: map[string]time.Time{}, machinesByRequest: map[string][]string{},
+		workers: map[string]*simWorker{}, machinesByRequest: map[string][]string{},
 		specs: map[string]*protocol.Job{}, finalStatus: map[string]string{}, accepted: map[string]bool{},
 		cancelConfirmedAt: map[string]time.Time{}, acceptedAt: map[string]time.Time{}, cancelRequested: map[string]bool{}, done: map[string]bool{},
 		taskWorker: map[string]*simWorker{}, teamCores: map[string]float64{}, history: newHistory(), events: map[string][]time.Time{}, lastAnsweredAt: map[string]time.Time{},
