Scenario: a late start meets an ended attempt, played without fences

Cause: a fence releases ended attempts soon, so a start that comes late is refused instead. It is played as before every controller supports fences, like 'a start is held up for minutes'. Its condition, count and guard are unchanged; the rows of answered commands that arrive again cover the same with fences.

--- a/internal/coordination/scenarios_test.go
+++ b/internal/coordination/scenarios_test.go
@@ -262,6 +262,7 @@
 		requiredEvents: map[string]int{"late stop of an attempt that is gone": 2}},
 	{name: "a late start meets an attempt that has ended, on a machine that fails its tasks",
 		detects: detection{guardAttemptRetention, "", true},
+		setUp:   func(w *world) { w.withoutFences = true },
 		jobs:    40, script: []fault{{at: 10 * sec, kind: directLate, share: 0.7, maxDelay: 60 * sec, verb: protocol.VerbStart, duration: 120 * sec},
 			{at: 30 * sec, kind: machinesFailTasks, count: 3, duration: 60 * sec}, {at: 70 * sec, kind: machinesFailTasks, count: 3, duration: 40 * sec}},
 		requiredEvents: map[string]int{"late start of an attempt that has ended there": 3}},
