Drop two review cases that an earlier one shows; the others in their order

What: a job that failed on a sick machine (was 4) and a machine that was slow (was 8) are the earlier review's cases 1 and 3. The output that is refused for ever is case 4 now, the last words 5, the line over 64 KiB 6. The stand-ins lose what only the two needed, and gain several machines of several types, a bound of outputs, and the parts of the cases that follow.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -40,9 +40,9 @@
 }
 
 var cases = map[string]func(*caseRun) int{
-	"sick":      playSickMachine,
-	"slow":      playSlowMachine,
 	"many":      playManyTasks,
+	"quota":     playFreeQuota,
+	"bound":     playSmallBound,
 	"limit":     playOutputBeforeLimits,
 	"lastwords": playLastWords,
 }
--- a/review/rig2/many.go
+++ b/review/rig2/many.go
@@ -6,17 +6,18 @@
 
 // playManyTasks: a job of many small tasks, which all fit on one machine.
 func playManyTasks(r *caseRun) int {
-	job := jobSpec{"wk-000001", "mazers", "solvecheck", "normal", 1600, 5, 0.02, 0.1, bison.name}
+	job := jobSpec{"wk-000001", "mazers", "solvecheck", "normal", 1600, 5, 0.02, 0.1, bison.name, false}
 	if !r.trouble {
 		job.parts, job.cores, job.ram = 160, 0.2, 1
 	}
-	p, err := startDeployment(r, bison)
+	machine := offer{bison.name, "saskatoon", false}
+	p, err := startDeployment(r, map[offer]int{machine: 1}, machine)
 	if err != nil {
 		return r.fail("%v", err)
 	}
 	p.describe(job)
-	m := p.machine()
-	if !p.submit(job, 15*time.Second) {
+	m := p.machines()[0]
+	if !p.submit(job, 0, 15*time.Second) {
 		return r.fail("the job is not accepted")
 	}
 	done := waitFor(45*time.Second, func() bool {
--- a/review/rig2/outputs.go
+++ b/review/rig2/outputs.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -43,9 +44,13 @@
 	os.Exit(taskStatus)
 }
 
+// defaultBound is the default bound of an attempt's output, in MiB.
+const defaultBound = 64
+
 // startStores starts the state service and two output stores, in two zones, with the
-// settings of deploy/outputs.xml that matter here (all are the defaults).
-func startStores(r *caseRun) (stores []string, err error) {
+// settings of deploy/outputs.xml that matter here (all are the defaults), but for the bound of
+// an attempt's output in MiB.
+func startStores(r *caseRun, bound int) (stores []string, err error) {
 	state, err := startState(r)
 	if err != nil {
 		return nil, err
@@ -58,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	operator, err := r.writeFile("outputs.xml", "<reedtrack><outputs><copies>2</copies><attempt><mb>64</mb><kb-per-s>1024</kb-per-s><artefact-mb>1024</artefact-mb></attempt></outputs></reedtrack>\n")
+	operator, err := r.writeFile("outputs.xml", fmt.Sprintf("<reedtrack><outputs><copies>2</copies><attempt><mb>%d</mb><kb-per-s>1024</kb-per-s><artefact-mb>1024</artefact-mb></attempt></outputs></reedtrack>\n", bound))
 	if err != nil {
 		return nil, err
 	}
@@ -188,7 +193,7 @@
 // playOutputBeforeLimits: the network between a worker and the stores holds packets back for
 // 6 s while a task writes 120 MB and crashes.
 func playOutputBeforeLimits(r *caseRun) int {
-	stores, err := startStores(r)
+	stores, err := startStores(r, defaultBound)
 	if err != nil {
 		return r.fail("%v", err)
 	}
@@ -212,13 +217,42 @@
 	if err != nil || status != taskStatus {
 		return r.fail("the task did not run: %v, status %d", err, status)
 	}
-	// What a worker does with what a capture has left. It is repeated, in case that a first
-	// try has ended for the stores' rate only.
+	r.recoverSpool(spool, to)
+	if r.readBack(job, stores, true) {
+		return ruleHeld
+	}
+	return ruleBroken
+}
+
+// recoverSpool does what a worker does with what a capture has left. It is repeated, in case
+// that a first try has ended for the stores' rate only.
+func (r *caseRun) recoverSpool(spool string, to []string) {
 	for range 2 {
 		if left, _ := os.ReadDir(spool); len(left) > 0 {
 			r.run(40*time.Second, "capture", "--recover", spool, "--to", strings.Join(to, ","))
 		}
 	}
+}
+
+// playSmallBound: the operators keep 2 MiB of an attempt's output, and a task writes 20 MB and
+// crashes. No machine, store or network has a fault.
+func playSmallBound(r *caseRun) int {
+	stores, err := startStores(r, 2)
+	if err != nil {
+		return r.fail("%v", err)
+	}
+	size := "20000000"
+	if !r.trouble {
+		size = "1000000"
+	}
+	const job = "wk-000701"
+	spool := filepath.Join(r.temp, "spool")
+	// The task waits until the capture has the bound from the stores.
+	status, err := r.capture(job, spool, stores, nil, "2s", size, "0s")
+	if err != nil || status != taskStatus {
+		return r.fail("the task did not run: %v, status %d", err, status)
+	}
+	r.recoverSpool(spool, stores)
 	if r.readBack(job, stores, true) {
 		return ruleHeld
 	}
@@ -228,7 +262,7 @@
 // playLastWords: a task writes faster than its bound of 28 KB a second allows, and crashes.
 // The capture holds it up for a moment, as it should, and drops the end of its output.
 func playLastWords(r *caseRun) int {
-	stores, err := startStores(r)
+	stores, err := startStores(r, defaultBound)
 	if err != nil {
 		return r.fail("%v", err)
 	}
--- a/review/rig2/platform.go
+++ b/review/rig2/platform.go
@@ -15,8 +15,7 @@
 	"reedtrack/internal/emulator"
 )
 
-// machineKind is a machine type of prairie-puzzle-trust. The cloud has one ordinary machine
-// of it in saskatoon, as in the site file, and it is up at the start.
+// machineKind is a machine type of prairie-puzzle-trust.
 type machineKind struct {
 	name        string
 	cores, ram  float64
@@ -29,9 +28,22 @@
 
 var (
 	gopher = machineKind{"gopher", 4, 16, 35, 0.25, 0.27, 0.09, 25}
+	badger = machineKind{"badger", 8, 16, 50, 0.25, 0.5, 0.17, 20}
 	bison  = machineKind{"bison", 32, 256, 35, 0.4, 2.4, 0.86, 50}
+	kinds  = []machineKind{gopher, badger, bison}
 )
 
+// offer is what the cloud rents of one type in one zone, as ordinary or as spot machines.
+type offer struct {
+	breed string
+	yard  string
+	spot  bool
+}
+
+// quickBoot is the time until a rented machine is up: "at times machines are up within a
+// second or two".
+const quickBoot = 2 * time.Second
+
 const (
 	reportSeconds = 3.0
 	leaseSeconds  = 29.0
@@ -41,7 +53,7 @@
 // platform holds the state service and the cloud with its workers.
 type platform struct {
 	r           *caseRun
-	kind        machineKind
+	stock       map[offer]int     // machines that may exist at a time
 	controllers map[string]string // addresses for workers and users, by name
 	jobs        map[string]jobSpec
 
@@ -76,9 +88,9 @@
 }
 
 // boot makes a machine that is up after the given time.
-func (p *platform) boot(after time.Duration) string {
+func (p *platform) boot(o offer, after time.Duration) string {
 	p.last++
-	w := newWorker(p, fmt.Sprintf("host-%06d", p.last))
+	w := newWorker(p, fmt.Sprintf("host-%06d", p.last), o)
 	p.workers[w.id] = w
 	time.AfterFunc(after, w.run)
 	return w.id
@@ -96,9 +108,16 @@
 	defer p.mu.Unlock()
 	switch {
 	case req.URL.Path == "/catalog":
-		writeJSON(w, 200, map[string]any{"breeds": []any{map[string]any{"sku": p.kind.name, "cores": p.kind.cores, "cards": 0, "ram_gb": p.kind.ram,
-			"local_gb": p.kind.cacheGB, "fetch_gb_per_s": p.kind.fetchRate, "rate": p.kind.price, "low_price": p.kind.spotPrice, "ready_s": p.kind.bootSeconds,
-			"yards": []string{"saskatoon"}}}})
+		var breeds []any
+		for _, k := range kinds {
+			yards := []string{"saskatoon"}
+			if k.name == badger.name {
+				yards = append(yards, "regina")
+			}
+			breeds = append(breeds, map[string]any{"sku": k.name, "cores": k.cores, "cards": 0, "ram_gb": k.ram, "local_gb": k.cacheGB,
+				"fetch_gb_per_s": k.fetchRate, "rate": k.price, "low_price": k.spotPrice, "ready_s": k.bootSeconds, "yards": yards})
+		}
+		writeJSON(w, 200, map[string]any{"breeds": breeds})
 	case req.URL.Path == "/machines" && req.Method == http.MethodPost:
 		p.rent(w, body)
 	case req.URL.Path == "/machines/release":
@@ -121,7 +140,7 @@
 	}
 }
 
-// rent rents the one ordinary machine if it is not rented; there are no spot machines.
+// rent rents machines as far as there are any.
 func (p *platform) rent(w http.ResponseWriter, body []byte) {
 	var ask struct {
 		Ask     string `json:"ask"`
@@ -138,14 +157,25 @@
 		writeJSON(w, 200, map[string]any{"reeds": names})
 		return
 	}
-	if ask.Breed != p.kind.name || ask.Yard != "saskatoon" || ask.Loaners || len(p.workers) > 0 {
-		p.r.logf("cloud: asked for %d %s, loaners %v: no capacity", ask.HowMany, ask.Breed, ask.Loaners)
+	o := offer{ask.Breed, ask.Yard, ask.Loaners}
+	room := p.stock[o]
+	for _, m := range p.workers {
+		if m.offer == o {
+			room--
+		}
+	}
+	if room <= 0 {
+		p.r.logf("cloud: asked for %d %s in %s, loaners %v: no capacity", ask.HowMany, ask.Breed, ask.Yard, ask.Loaners)
 		writeJSON(w, 503, map[string]string{"error": "no capacity"})
 		return
 	}
-	p.rented[ask.Ask] = []string{p.boot(time.Duration(p.kind.bootSeconds) * time.Second)}
-	p.r.logf("cloud: rented %s", p.rented[ask.Ask][0])
-	writeJSON(w, 200, map[string]any{"reeds": p.rented[ask.Ask]})
+	var names []string
+	for range min(room, ask.HowMany) {
+		names = append(names, p.boot(o, quickBoot))
+	}
+	p.rented[ask.Ask] = names
+	p.r.logf("cloud: rented %s in %s, loaners %v: %v", ask.Breed, ask.Yard, ask.Loaners, names)
+	writeJSON(w, 200, map[string]any{"reeds": names})
 }
 
 func (p *platform) list(w http.ResponseWriter, since string) {
@@ -158,7 +188,7 @@
 		if m.address() != "" {
 			status = "running"
 		}
-		list = append(list, map[string]any{"id": id, "address": m.address(), "breed": p.kind.name, "yard": "saskatoon", "loaners": false,
+		list = append(list, map[string]any{"id": id, "address": m.address(), "breed": m.offer.breed, "yard": m.offer.yard, "loaners": m.offer.spot,
 			"status": status, "age_s": time.Since(m.begun).Seconds()})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i]["id"].(string) < list[j]["id"].(string) })
@@ -175,28 +205,24 @@
 	runS  float64
 	cores float64 // of a task
 	ram   float64
-	breed string
-}
-
-// smallJob returns a job with tasks of one core, bound to ordinary gophers.
-func smallJob(id, team, class, urgency string, parts int, runS float64) jobSpec {
-	return jobSpec{id, team, class, urgency, parts, runS, 1, 1.6, gopher.name}
+	breed string // the only machine type that it may use
+	spot  bool   // it may use spot machines
 }
 
-// json returns the submission of a job. All jobs are bound to ordinary machines of one type,
-// so that the one machine is the only one that fits.
+// json returns the submission of a job.
 func (j jobSpec) json() string {
 	return fmt.Sprintf(`{"id":%q,"jobclass":%q,"owner":%q,"shape":"array","urgency":%q,"parts":%d,"cores":%g,"cards":0.0,"ram_gb":%g,`+
-		`"bundle":"img-01","pull_gb":0.2,"breeds":[%q],"yard":null,"one_zone":false,"spread":false,"loaners":false,`+
-		`"guess_s":%.1f,"save_every_s":0.0,"save_takes_s":0.0,"due_s":null}`, j.id, j.class, j.team, j.urg, j.parts, j.cores, j.ram, j.breed, j.runS)
+		`"bundle":"img-01","pull_gb":0.2,"breeds":[%q],"yard":null,"one_zone":false,"spread":false,"loaners":%v,`+
+		`"guess_s":%.1f,"save_every_s":0.0,"save_takes_s":0.0,"due_s":null}`, j.id, j.class, j.team, j.urg, j.parts, j.cores, j.ram, j.breed, j.spot, j.runS)
 }
 
-// submit sends a submission, as a user does, until it is accepted.
-func (p *platform) submit(j jobSpec, limit time.Duration) bool {
+// submit sends a submission, as a user does, until it is accepted: first to the controller
+// of the given number, then to the next.
+func (p *platform) submit(j jobSpec, first int, limit time.Duration) bool {
 	names := []string{"reed-0", "reed-1", "reed-2"}
 	client := http.Client{Timeout: 5 * time.Second}
 	end := time.Now().Add(limit)
-	for i := 0; time.Now().Before(end); i++ {
+	for i := first; time.Now().Before(end); i++ {
 		resp, err := client.Post("http://"+p.controllers[names[i%3]]+"/v1/jobs", "application/json", strings.NewReader(j.json()))
 		if err == nil {
 			raw, _ := io.ReadAll(resp.Body)
@@ -234,8 +260,9 @@
 	return ""
 }
 
-// startDeployment starts the platform with its machine and three controllers.
-func startDeployment(r *caseRun, kind machineKind) (*platform, error) {
+// startDeployment starts the platform and three controllers. The machines of up are up at
+// the start.
+func startDeployment(r *caseRun, stock map[offer]int, up ...offer) (*platform, error) {
 	state, err := startState(r)
 	if err != nil {
 		return nil, err
@@ -245,7 +272,7 @@
 		return nil, err
 	}
 	public, peers := addresses[:3], addresses[3:]
-	p := &platform{r: r, kind: kind, controllers: map[string]string{}, jobs: map[string]jobSpec{}, rented: map[string][]string{}, workers: map[string]*worker{}}
+	p := &platform{r: r, stock: stock, controllers: map[string]string{}, jobs: map[string]jobSpec{}, rented: map[string][]string{}, workers: map[string]*worker{}}
 	cloud, err := p.startCloud()
 	if err != nil {
 		return nil, err
@@ -262,7 +289,9 @@
 		}
 	}
 	p.mu.Lock()
-	p.boot(0)
+	for _, o := range up {
+		p.boot(o, 0)
+	}
 	p.mu.Unlock()
 	return p, nil
 }
@@ -276,12 +305,22 @@
 	}
 }
 
-// machine returns the machine that is up, or nil.
-func (p *platform) machine() *worker {
+// machines returns the machines that exist.
+func (p *platform) machines() (list []*worker) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, w := range p.workers {
-		return w
+		list = append(list, w)
+	}
+	return list
+}
+
+// kindOf returns the machine type of that name.
+func kindOf(name string) machineKind {
+	for _, k := range kinds {
+		if k.name == name {
+			return k
+		}
 	}
-	return nil
+	return machineKind{}
 }
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -8,26 +8,24 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"sort"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
-// worker is a machine with its worker, as PROTOCOL describes them. A machine that is sick
-// fails every task that it starts; one that is slow runs its tasks at a third of the speed.
+// worker is a machine with its worker, as PROTOCOL describes them.
 type worker struct {
 	p      *platform
 	id     string
+	offer  offer
+	kind   machineKind
 	begun  time.Time
 	wakeup chan struct{}
 
 	mu       sync.Mutex
 	stopped  bool
 	addr     string
-	sick     bool
-	slow     bool
 	stint    uint64
 	tally    uint64
 	baton    uint64
@@ -59,8 +57,8 @@
 	Try  uint64 `json:"try"`
 }
 
-func newWorker(p *platform, id string) *worker {
-	return &worker{p: p, id: id, begun: time.Now(), wakeup: make(chan struct{}, 1), stint: 1, parts: map[string]*part{}}
+func newWorker(p *platform, id string, o offer) *worker {
+	return &worker{p: p, id: id, offer: o, kind: kindOf(o.breed), begun: time.Now(), wakeup: make(chan struct{}, 1), stint: 1, parts: map[string]*part{}}
 }
 
 func (w *worker) address() string {
@@ -76,12 +74,6 @@
 	w.parts = map[string]*part{}
 }
 
-func (w *worker) set(sick, slow bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.sick, w.slow = sick, slow
-}
-
 // startsOf returns the starts of a job's tasks so far.
 func (w *worker) startsOf(job string) (events []startEvent) {
 	w.mu.Lock()
@@ -94,16 +86,36 @@
 	return events
 }
 
-// states returns the tasks on the machine with their states, for the record.
-func (w *worker) states() string {
+// countOf returns how many tasks of a job are on the machine and have not ended.
+func (w *worker) countOf(job string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for name, t := range w.parts {
+		if t.status != "ended" && strings.HasPrefix(name, job+"/") {
+			count++
+		}
+	}
+	return count
+}
+
+// freeCores returns the cores that no task takes, refused and ended ones aside.
+func (w *worker) freeCores() float64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var list []string
+	return w.kind.cores - w.busyCores()
+}
+
+// busyCores returns the cores that tasks take. The caller holds mu.
+func (w *worker) busyCores() float64 {
+	busy := 0.0
 	for name, t := range w.parts {
-		list = append(list, name+" "+t.status+t.cause)
+		if t.status != "ended" {
+			id, _, _ := strings.Cut(name, "/")
+			busy += w.p.jobs[id].cores
+		}
 	}
-	sort.Strings(list)
-	return strings.Join(list, ", ")
+	return busy
 }
 
 func (w *worker) wake() {
@@ -206,7 +218,7 @@
 		}
 		parts = append(parts, entry)
 	}
-	raw, _ := json.Marshal(map[string]any{"reed": w.id, "address": w.addr, "breed": w.p.kind.name, "yard": "saskatoon", "loaners": false,
+	raw, _ := json.Marshal(map[string]any{"reed": w.id, "address": w.addr, "breed": w.kind.name, "yard": w.offer.yard, "loaners": w.offer.spot,
 		"stint": w.stint, "tally": w.tally, "baton": w.baton, "warning_s": nil, "parts": parts})
 	return raw
 }
@@ -273,13 +285,6 @@
 	index, err := strconv.Atoi(number)
 	job, known := w.p.jobs[id]
 	t := &part{try: o.Try, status: "fetching", left: job.runS}
-	busy := 0.0
-	for name, other := range w.parts {
-		if other.status != "ended" {
-			id, _, _ := strings.Cut(name, "/")
-			busy += w.p.jobs[id].cores
-		}
-	}
 	if present != nil && present.status != "ended" {
 		w.p.r.logf("%s: %s refused: in_use", w.id, o.Part)
 		return // one entry a task: the refusal of the new attempt is not kept
@@ -288,11 +293,11 @@
 	switch {
 	case !known || err != nil || index >= job.parts:
 		w.end(o.Part, t, "no_such")
-	case busy+job.cores > w.p.kind.cores+1e-9:
+	case w.busyCores() > w.kind.cores+1e-9: // this task included
 		w.end(o.Part, t, "full")
 	default:
 		if w.bundleAt.IsZero() {
-			w.bundleAt = time.Now().Add(time.Duration(0.2 / w.p.kind.fetchRate * float64(time.Second)))
+			w.bundleAt = time.Now().Add(time.Duration(0.2 / w.kind.fetchRate * float64(time.Second)))
 		}
 	}
 }
@@ -316,18 +321,12 @@
 		}
 		passed := time.Since(last).Seconds()
 		last = time.Now()
-		if w.slow {
-			passed /= 3
-		}
 		for name, t := range w.parts {
 			switch {
 			case t.status == "fetching" && time.Now().After(w.bundleAt):
 				w.starts = append(w.starts, startEvent{task: name, at: time.Now()})
 				t.status = "running"
 				w.wake()
-				if w.sick {
-					w.end(name, t, "error")
-				}
 			case t.status == "running":
 				if t.left -= passed; t.left <= 0 {
 					w.end(name, t, "done")
--- a/review/tests2/cases_test.go
+++ b/review/tests2/cases_test.go
@@ -34,17 +34,17 @@
 	}
 }
 
-// An accepted job whose task failed on a sick machine runs there once the machine is sound.
-func TestReview2JobRunsAfterSickMachine(t *testing.T) { playCase(t, "4") }
-
 // The end and the files of a task that wrote much while the stores were out of reach are kept.
-func TestReview2OutputBeforeLimitsIsKept(t *testing.T) { playCase(t, "5") }
+func TestReview2OutputBeforeLimitsIsKept(t *testing.T) { playCase(t, "4") }
+
+// The last words of a task that writes fast and then crashes are kept.
+func TestReview2LastWordsAreKept(t *testing.T) { playCase(t, "5") }
 
 // No response to a worker has a line over 64 KiB.
 func TestReview2LinesToWorkersAreBounded(t *testing.T) { playCase(t, "6") }
 
-// The last words of a task that writes fast and then crashes are kept.
-func TestReview2LastWordsAreKept(t *testing.T) { playCase(t, "7") }
+// A job does not wait beside room while its team is under its limit.
+func TestReview2FreeQuotaIsUsed(t *testing.T) { playCase(t, "7") }
 
-// An accepted job runs on a machine that was slow for a while.
-func TestReview2JobRunsAfterSlowMachine(t *testing.T) { playCase(t, "8") }
+// The end and the files of an output are kept where its bound is small.
+func TestReview2SmallBoundIsKept(t *testing.T) { playCase(t, "8") }
