--- a/review/rig2/quota.go
+++ b/review/rig2/quota.go
@@ -15,7 +15,7 @@
 // waits for its limit, in two shards. A third job of tasks of one core comes, while fewer than
 // four cores of the limit are free.
 func playFreeQuota(r *caseRun) int {
-	long := jobSpec{"wk-000001", "mazers", "piececut", "normal", 45, 112, 1, 1.6, badger.name, true}
+	long := jobSpec{"wk-000001", "mazers", "piececut", "normal", 45, 100, 1, 1.6, badger.name, true}
 	other := jobSpec{"wk-000002", "cutters", "thumbnail", "low", 20, 50, 1, 1.6, gopher.name, false}
 	large := jobSpec{"wk-000003", "mazers", "piececut", "normal", 100000, 25, 4, 2.7, bison.name, true}
 	victim := jobSpec{"wk-000004", "mazers", "solvecheck", "normal", 3, 4, 1, 1.6, badger.name, true}
@@ -23,6 +23,7 @@
 		{badger.name, "saskatoon", true}: 3, {badger.name, "saskatoon", false}: 2,
 		{badger.name, "regina", true}: 3, {badger.name, "regina", false}: 2,
 		{bison.name, "saskatoon", true}: 3, {bison.name, "saskatoon", false}: 1,
+		{gopher.name, "saskatoon", false}: 1,
 	})
 	if err != nil {
 		return r.fail("%v", err)
