Tiny tasks: the division of a quota ends, and their number fits into an int

Cause: assignRemainder adds one task after the other under the node's lock; a size that is lost in the sum never fills the remainder, and one of 1e-9 needs billions of steps. And remainingQuota converts (share-used)/size to an int, which for such sizes is beyond any int: undefined, on x86-64 a negative number, so the job would never start.

Fix: a size below the rounding tolerance counts as the tolerance; a step assigns a thousandth of the tasks that are assignable, one at least, so tasks above a thousandth of the remainder are divided as before; the number of tasks is bounded before it becomes an int.

Evidence: TestDivideEndsWithTinyTasks did not end within 15 s before, and passes now.

--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -89,12 +89,13 @@
 	limit := func(quota, share, spent, need float64) {
 		const roundingError = 1e-9
 		if quota > 0 && need > 0 {
-			tasks = min(tasks, int((share-spent)/need+roundingError))
+			fitting := (share-spent)/need + roundingError // of tiny tasks, more than an int can hold
+			tasks = int(min(float64(tasks), max(0, fitting)))
 		}
 	}
 	limit(quota.limit.Cores, share.Cores, used.Cores+unreported.Cores, j.taskResources[placement.Cores])
 	limit(quota.limit.GPUs, share.GPUs, used.GPUs+unreported.GPUs, j.taskResources[placement.GPUs])
-	return max(tasks, 0)
+	return tasks
 }
 
 // placePending places pending tasks in queue order. It returns those that fit on no
@@ -223,7 +224,8 @@
 		if !known { // computed only when needed: it is expensive, and most heartbeats free no capacity
 			unreported, known = s.unreportedCapacity(), true
 		}
-		for n := s.remainingQuota(j, teams, unreported); n > 0 && free.Fits(j.taskResources) && j.zoneAllows(m.lease.Zone); n-- {
+		allowed := min(s.remainingQuota(j, teams, unreported), m.freeTaskSlots())
+		for n := allowed; n > 0 && free.Fits(j.taskResources) && j.zoneAllows(m.lease.Zone); n-- {
 			task := j.takeTaskFor(m)
 			if task < 0 {
 				break
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -43,13 +43,13 @@
 	}
 	startable := make([]share, len(demands))
 	for i, d := range demands {
-		startable[i] = share{used: vectorOf(d.Used), requested: d.startable(), taskSize: vectorOf(d.TaskSize)}
+		startable[i] = share{used: vectorOf(d.Used), requested: d.startable(), taskSize: taskSizeOf(d.TaskSize)}
 	}
 	divide(limited, limit, startable)
 	rest := make([]share, len(demands))
 	left := limit
 	for i, d := range demands {
-		rest[i] = share{requested: vectorOf(d.Requested), taskSize: vectorOf(d.TaskSize)}
+		rest[i] = share{requested: vectorOf(d.Requested), taskSize: taskSizeOf(d.TaskSize)}
 		for r := range left {
 			rest[i].requested[r] -= startable[i].requested[r]
 			left[r] = max(0, left[r]-startable[i].taken(r))
@@ -82,7 +82,8 @@
 }
 
 // assignRemainder assigns the remainder left by rounding to shares that request further
-// tasks, one task at a time, smallest served fraction first.
+// tasks, one task at a time, smallest served fraction first. Tasks that are tiny compared to
+// what is left are assigned several at a time, so that the number of steps is bounded.
 func assignRemainder(shares []share, scarce [resourceCount]bool, limit vector) {
 	left := limit
 	for i := range shares {
@@ -95,10 +96,11 @@
 		if next == nil {
 			return
 		}
+		tasks := next.tasksPerStep(scarce, left)
 		for r := range left {
 			if scarce[r] && next.taskSize[r] > 0 {
-				next.assigned[r] = next.taken(r) + next.taskSize[r]
-				left[r] -= next.taskSize[r]
+				next.assigned[r] = next.taken(r) + tasks*next.taskSize[r]
+				left[r] -= tasks * next.taskSize[r]
 			}
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -157,3 +157,25 @@
 	}
 	t.Errorf("shares %v: %g cores are free, and no task of as many or fewer may start", shares, free)
 }
+
+// Guards against a division that never ends, under the controller's lock, for tasks whose size
+// is lost in sums with the quota, or of which the quota holds billions.
+func TestDivideEndsWithTinyTasks(t *testing.T) {
+	quota := storage.Resources{Cores: 14}
+	for _, size := range []float64{1e-300, 1e-18, 1e-12, 1e-9, 1e-6, 0.0001} {
+		const tasks = 100_000
+		for name, demands := range map[string][]Demand{
+			"beside large tasks": {coresDemand(0, 30, 3), coresDemand(0, tasks*size, size)},
+			"beside unused room": {coresDemand(2, 2, 3), coresDemand(0, 1e6, size)},
+			"two of them":        {coresDemand(0, 1e6, size), coresDemand(1, 1e6, size)},
+		} {
+			shares := Divide(quota, demands)
+			if total := shares[0].Cores + shares[1].Cores; total > quota.Cores+tolerance {
+				t.Errorf("tasks of %g %s: %v exceed the quota", size, name, shares)
+			}
+			if shares[1].Cores == 0 {
+				t.Errorf("tasks of %g %s: %v, none of them can start", size, name, shares)
+			}
+		}
+	}
+}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -1,6 +1,10 @@
 package quota
 
-import "math"
+import (
+	"math"
+
+	"reedtrack/internal/storage"
+)
 
 // share is a demand and the amount assigned to it while a quota is divided.
 type share struct {
@@ -63,3 +67,31 @@
 	}
 	return needsScarce
 }
+
+// stepDivisor is the fraction of the tasks that a share can still be assigned, as a divisor,
+// from which on a step assigns more than one task.
+const stepDivisor = 1024
+
+// tasksPerStep returns how many tasks to assign to the share in one step, given that at least
+// one can be.
+func (s *share) tasksPerStep(scarce [resourceCount]bool, left vector) float64 {
+	assignable := math.Inf(1)
+	for r := range left {
+		if scarce[r] && s.taskSize[r] > 0 {
+			assignable = min(assignable, min(left[r], s.requested[r]-s.taken(r))/s.taskSize[r])
+		}
+	}
+	return max(1, math.Floor(assignable/stepDivisor))
+}
+
+// taskSizeOf returns the size of a task. A smaller amount than epsilon counts as epsilon: it
+// would be lost in sums with larger ones.
+func taskSizeOf(a storage.Resources) vector {
+	size := vectorOf(a)
+	for r := range size {
+		if size[r] > 0 {
+			size[r] = max(size[r], epsilon)
+		}
+	}
+	return size
+}
