Messages to workers, and what they have to report, fit the protocol's 64 KiB

Cause: nothing bounds the commands in a message, nor the tasks of a machine. The second is a fault of its own: a heartbeat is a request of the worker and lists every task, ended ones until they are cleared.

Fix: a machine has slots for 504 tasks, what always fits into a heartbeat, counted from the placement until a heartbeat shows the worker's clear; without a free slot it has no room, for placement, scale-out, preemption, draining and migration. A message takes commands while they fit. A command that is left out is not recorded: its start binds no task, is not retained and needs no fence. Stops come first, least recently sent before others, and the stops of all 504 tasks fit into one message with the starts that have to precede some, so a cancellation takes no longer. Unanswered direct starts are at most 128 on a machine, which bounds the fence that names them.

The simulated worker now refuses what is over a limit. Its check of who waits beside room leaves out machines whose heartbeats list 504 tasks: the protocol has no room for more on them by the bound above (docs/safety.md).

--- a/internal/coordination/direct_dispatch.go
+++ b/internal/coordination/direct_dispatch.go
@@ -119,9 +119,11 @@
 	if !m.acceptsDirect(now) {
 		return target, false
 	}
+	maxStarts := m.maxDirectStarts()
 	for _, attempt := range m.attempts {
 		needsStop := attempt.stopRequested && attempt.start.IsKnown() && attempt.stopSentAt.IsZero()
-		if !needsStop && !m.needsStart(attempt) {
+		needsStart := maxStarts > 0 && m.needsStart(attempt)
+		if !needsStop && !needsStart {
 			continue
 		}
 		if needsStop {
@@ -145,10 +147,23 @@
 }
 
 // needsStart reports whether the start of an attempt on the machine is to be
-// sent directly. While the machine retains too many ended attempts, starts are
-// sent in the answers to its heartbeats alone.
+// sent directly, if the machine may get one.
 func (m *machine) needsStart(attempt *taskAttempt) bool {
-	return !attempt.stopRequested && !attempt.job.ended && !m.cordoned && !attempt.start.IsSent() && m.exchange.CountRetained() < maxRetainedAttempts
+	return !attempt.stopRequested && !attempt.job.ended && !m.cordoned && !attempt.start.IsSent()
+}
+
+// maxDirectStarts returns how many starts the machine may get in a direct
+// message. The others are sent in the answers to its heartbeats: ended attempts
+// that were started directly are retained, and unconfirmed ones have to fit into
+// the record of a fence.
+func (m *machine) maxDirectStarts() int {
+	bound := m.exchange.CountRetained()
+	for _, attempt := range m.attempts {
+		if attempt.start.IsUnconfirmed() {
+			bound++
+		}
+	}
+	return max(0, maxRetainedAttempts-bound)
 }
 
 // directRank ranks direct messages: those for urgent jobs and for jobs within
@@ -171,26 +186,32 @@
 	starts  []*taskAttempt
 }
 
-// buildMessage builds a direct message with stops and starts. It never
-// contains a clear: a late clear would make the worker drop an attempt whose
-// start may arrive again.
+// buildMessage builds a direct message with stops and starts, as many as fit.
+// It never contains a clear: a late clear would make the worker drop an attempt
+// whose start may arrive again.
 func (t directTarget) buildMessage(now time.Time) directMessage {
 	s, m := t.shard, t.machine
 	token := s.machineToken(m)
+	maxStarts := m.maxDirectStarts()
+	budget := protocol.NewCommandBudget()
 	message := directMessage{directTarget: t, address: m.address, tracker: m.exchange.BeginMessage(token)}
 	message.payload = protocol.DirectCommands{
 		FencingToken: token,
 		Session:      message.tracker.Session,
-		Commands:     s.stopCommands(m, now),
+		Commands:     s.stopCommands(m, budget, now, false),
 	}
 	for _, attempt := range m.attempts {
 		if !m.needsStart(attempt) {
 			continue
 		}
+		command := attempt.command(protocol.VerbStart)
+		if len(message.starts) >= maxStarts || !budget.Reserve(command) {
+			break
+		}
 		message.tracker.AddStart(&attempt.start)
 		attempt.startSentAt = now
 		message.starts = append(message.starts, attempt)
-		message.payload.Commands = append(message.payload.Commands, attempt.command(protocol.VerbStart))
+		message.payload.Commands = append(message.payload.Commands, command)
 		attempt.logStart("direct", token)
 	}
 	return message
--- a/internal/coordination/drain.go
+++ b/internal/coordination/drain.go
@@ -98,10 +98,16 @@
 	return nil
 }
 
+// reservation is what tasks that are to be moved to a machine will take of it.
+type reservation struct {
+	resources placement.Resources
+	tasks     int
+}
+
 // canDrain reports whether every task of a machine is worth moving and fits on
 // other machines in use at the same or a lower price.
 func (p *planner) canDrain(m *machine, machines []*machine) bool {
-	reserved := map[*machine]placement.Resources{}
+	reserved := map[*machine]reservation{}
 	for _, attempt := range m.attempts {
 		if !p.isWorthMoving(attempt) {
 			return false
@@ -110,7 +116,7 @@
 		if other == nil {
 			return false
 		}
-		reserved[other] = reserved[other].Add(attempt.job.taskResources)
+		reserved[other] = reservation{reserved[other].resources.Add(attempt.job.taskResources), reserved[other].tasks + 1}
 	}
 	return true
 }
@@ -131,12 +137,13 @@
 
 // selectMoveTarget returns the best machine to move a task to, given the capacity
 // reserved for other moves, or nil if none fits.
-func (p *planner) selectMoveTarget(a *taskAttempt, machines []*machine, reserved map[*machine]placement.Resources) *machine {
+func (p *planner) selectMoveTarget(a *taskAttempt, machines []*machine, reserved map[*machine]reservation) *machine {
 	j, m := a.job, a.machine
 	i := p.input.params.SelectBest(len(machines), func(i int) (placement.Resources, placement.Resources, bool) {
 		other := machines[i]
-		free := other.freeCapacity().Sub(reserved[other])
-		ok := other != m && !other.draining && p.input.price(other.kind()) <= p.input.price(m.kind()) &&
+		free := other.freeCapacity().Sub(reserved[other].resources)
+		hasSlot := other.freeTaskSlots() > reserved[other].tasks
+		ok := other != m && !other.draining && hasSlot && p.input.price(other.kind()) <= p.input.price(m.kind()) &&
 			free.Fits(j.taskResources) && j.allowsMachine(other) && j.zoneAllows(other.lease.Zone)
 		return free.Sub(j.taskResources), other.capacity, ok
 	})
--- a/internal/coordination/failure_detection.go
+++ b/internal/coordination/failure_detection.go
@@ -188,7 +188,7 @@
 	var spaces []*freeSpace
 	for _, m := range machines {
 		if m.isSchedulable() && !m.draining {
-			spaces = append(spaces, &freeSpace{m, m.freeCapacity()})
+			spaces = append(spaces, &freeSpace{m, m.freeCapacity(), m.freeTaskSlots()})
 		}
 	}
 	return excludeFitting(unplaced, spaces)
--- a/internal/coordination/heartbeat_proxy.go
+++ b/internal/coordination/heartbeat_proxy.go
@@ -110,17 +110,23 @@
 // started since the worker sent its heartbeat.
 func (n *Node) stopCommandsForEndedJobs(report *protocol.Heartbeat, starts []heartbeatproxy.Attempt) []protocol.Command {
 	const noGracePeriod = 0
+	budget := protocol.NewCommandBudget()
 	stops := []protocol.Command{}
+	add := func(key taskKey, attempt uint64) {
+		if stop := stopCommand(key, attempt, noGracePeriod); budget.Reserve(stop) {
+			stops = append(stops, stop)
+		}
+	}
 	listed := map[heartbeatproxy.Attempt]bool{}
 	for _, task := range report.Tasks {
 		listed[heartbeatproxy.Attempt{Task: task.Task, Number: task.Attempt}] = true
 		if key := parseTaskKey(task.Task); task.State != protocol.Exited && n.hasJobEnded(key.job) {
-			stops = append(stops, stopCommand(key, task.Attempt, noGracePeriod))
+			add(key, task.Attempt)
 		}
 	}
 	for _, start := range starts {
 		if key := parseTaskKey(start.Task); !listed[start] && n.hasJobEnded(key.job) {
-			stops = append(stops, stopCommand(key, start.Number, noGracePeriod))
+			add(key, start.Number)
 		}
 	}
 	return stops
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -7,6 +7,7 @@
 	"reedtrack/internal/dispatch"
 	"reedtrack/internal/failuredetector"
 	"reedtrack/internal/placement"
+	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
 )
 
@@ -194,7 +195,15 @@
 }
 
 // acceptsTasks reports whether the planner may place tasks on the machine.
-func (m *machine) acceptsTasks() bool { return m.isSchedulable() && !m.draining }
+func (m *machine) acceptsTasks() bool {
+	return m.isSchedulable() && !m.draining && m.freeTaskSlots() > 0
+}
+
+// freeTaskSlots returns how many more tasks the machine's heartbeats can list. A task takes
+// a slot from its placement until a heartbeat shows that the worker has cleared it.
+func (m *machine) freeTaskSlots() int {
+	return protocol.MaxReportedTasks - len(m.attempts) - len(m.tasksToClear) - len(m.orphans)
+}
 
 // machineKind is a machine type in a zone, spot or on demand.
 type machineKind struct {
--- a/internal/coordination/migration_to_spare_capacity.go
+++ b/internal/coordination/migration_to_spare_capacity.go
@@ -6,6 +6,7 @@
 
 	"reedtrack/internal/config"
 	"reedtrack/internal/placement"
+	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
 )
 
@@ -227,7 +228,7 @@
 			break
 		}
 		if free := m.freeCapacity(); free.Fits(j.taskResources) && j.canPlaceOn(m) {
-			count += free.CountFitting(j.taskResources)
+			count += min(free.CountFitting(j.taskResources), m.freeTaskSlots())
 		}
 	}
 	return min(count, limit)
@@ -238,7 +239,7 @@
 	count := 0
 	for _, m := range machines {
 		if m.Free.Fits(j.taskResources) && j.allows(m.Kind.MachineType, m.Kind.Zone, m.Kind.Spot) {
-			count += m.Free.CountFitting(j.taskResources)
+			count += min(m.Free.CountFitting(j.taskResources), protocol.MaxReportedTasks)
 		}
 	}
 	return count
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -285,8 +285,12 @@
 			selector.RemoveBest()
 			continue
 		}
-		selector.PlaceOnBest()
 		placed = append(placed, p.shard.place(j, task, machines[i]))
+		if machines[i].freeTaskSlots() > 0 {
+			selector.PlaceOnBest()
+		} else {
+			selector.RemoveBest()
+		}
 		slog.Debug("task placed", "job", j.id, "task", task, "machine", machines[i].lease.Machine)
 	}
 	return placed
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -14,20 +14,23 @@
 type freeSpace struct {
 	machine  *machine
 	capacity placement.Resources
+	slots    int // see freeTaskSlots
 }
 
 // excludeStopping leaves out tasks that will fit once stopping attempts have ended.
 func (p *planner) excludeStopping(unplaced []unplacedTasks) []unplacedTasks {
 	var stopping []*freeSpace
 	for _, m := range p.machines {
-		free, found := m.freeCapacity(), false
+		free, slots := m.freeCapacity(), m.freeTaskSlots()
+		found := false
 		for _, attempt := range m.attempts {
 			if attempt.stopRequested {
 				free, found = free.Add(attempt.job.taskResources), true
+				slots++
 			}
 		}
 		if found && m.isSchedulable() {
-			stopping = append(stopping, &freeSpace{m, free})
+			stopping = append(stopping, &freeSpace{m, free, slots})
 		}
 	}
 	return excludeFitting(unplaced, stopping)
@@ -43,8 +46,9 @@
 	for _, tasks := range unplaced {
 		j := tasks.job
 		for _, space := range spaces {
-			for tasks.count > 0 && space.capacity.Fits(j.taskResources) && j.canRunOn(space.machine) {
+			for tasks.count > 0 && space.slots > 0 && space.capacity.Fits(j.taskResources) && j.canRunOn(space.machine) {
 				space.capacity = space.capacity.Sub(j.taskResources)
+				space.slots--
 				tasks.count--
 			}
 		}
@@ -154,6 +158,9 @@
 	}
 	var chosen []int
 	chosen, candidate.loss = placement.SelectVictims(m.freeCapacity(), j.taskResources, victims)
+	if len(chosen) == 0 && m.freeTaskSlots() <= 0 && m.freeCapacity().Fits(j.taskResources) {
+		chosen, candidate.loss = cheapestVictim(victims) // only its slot is needed
+	}
 	for _, k := range chosen {
 		candidate.attempts = append(candidate.attempts, attempts[k])
 		candidate.lostWork += (tasks[k].LostSeconds + 1) * max(tasks[k].Cores, 0.1)
@@ -161,6 +168,18 @@
 	return candidate
 }
 
+// cheapestVictim returns the index of the cheapest of the victims, of which there is at least
+// one, and its cost.
+func cheapestVictim(victims []placement.Victim) ([]int, float64) {
+	cheapest := 0
+	for i, victim := range victims {
+		if victim.Cost < victims[cheapest].Cost {
+			cheapest = i
+		}
+	}
+	return []int{cheapest}, victims[cheapest].Cost
+}
+
 // preemptor describes a pending job to the preemption policy.
 func (p *planInput) preemptor(j *job, now time.Time) policy.Preemptor {
 	preemptor := policy.Preemptor{
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -61,6 +61,7 @@
 // reconcileMachine updates this holder's view of a machine to match its
 // heartbeat.
 func (s *shard) reconcileMachine(m *machine, report *protocol.Heartbeat, now time.Time) {
+	wasFull := m.freeTaskSlots() <= 0
 	clear(m.orphans)
 	clear(m.tasksToClear)
 	m.runsUnreadableJob = false
@@ -70,6 +71,9 @@
 		return m.attempts[key] != nil && m.attempts[key].number == reported.Attempt
 	})
 	s.dropAbsentAttempts(m, listed, report.FencingToken)
+	if wasFull && m.freeTaskSlots() > 0 {
+		s.capacityFreed = true // by tasks that the worker has cleared
+	}
 }
 
 // reconcileTasks applies the tasks that a report lists, and returns the keys
@@ -192,91 +196,3 @@
 func (s *shard) canAdopt(j *job, task int, m *machine) bool {
 	return j != nil && task < j.spec.Tasks && j.isTaskPending(task) && (!m.isReconciled() || j.unconfirmed)
 }
-
-// buildCommands returns the commands in the answer to a heartbeat.
-func (s *shard) buildCommands(m *machine, now time.Time) []protocol.Command {
-	commands := s.clearCommands(m)
-	commands = append(commands, s.startCommandsBeforeStops(m)...)
-	commands = append(commands, s.stopCommands(m, now)...)
-	if m.isReconciled() && !m.cordoned && !m.releasing {
-		commands = append(commands, s.startCommands(m, now)...)
-	}
-	m.lastAnswered = now
-	return commands
-}
-
-// clearCommands returns the commands that make the worker delete ended tasks.
-// It returns an empty list rather than nil, since the encoding of the answer
-// differs.
-func (s *shard) clearCommands(m *machine) []protocol.Command {
-	commands := []protocol.Command{}
-	for key, attempt := range m.tasksToClear {
-		j := s.jobs[key.job]
-		if j != nil && j.done.Contains(key.task) && j.savedCount < j.done.Len() {
-			// The worker keeps the result until the job's record has it.
-			continue
-		}
-		if !m.exchange.CanClear(key, attempt, s.guards) {
-			continue // its start may arrive, also again, and would then start it
-		}
-		commands = append(commands, newCommand(protocol.VerbClear, key, attempt))
-	}
-	return commands
-}
-
-// startCommandsBeforeStops returns the starts of attempts that are to be stopped
-// while their start may still be in flight in a direct message. A worker does
-// not start an attempt twice, so the late duplicate then has no effect.
-func (s *shard) startCommandsBeforeStops(m *machine) []protocol.Command {
-	var commands []protocol.Command
-	for _, attempt := range m.attempts {
-		if attempt.stopRequested && attempt.start.IsUnconfirmed() && s.guards&dispatch.WithoutStartBeforeStop == 0 {
-			attempt.start.MarkSentInResponse()
-			commands = append(commands, attempt.command(protocol.VerbStart))
-		}
-	}
-	return commands
-}
-
-// startCommands returns the starts that the answer to a heartbeat has to
-// carry: those not sent yet, and those sent directly that the worker has not
-// reported yet.
-func (s *shard) startCommands(m *machine, now time.Time) []protocol.Command {
-	var commands []protocol.Command
-	for _, attempt := range m.attempts {
-		if attempt.stopRequested || attempt.job.ended || !attempt.start.IsDue() {
-			continue
-		}
-		attempt.start.MarkSentInResponse()
-		if attempt.startSentAt.IsZero() {
-			attempt.startSentAt = now
-		}
-		commands = append(commands, attempt.command(protocol.VerbStart))
-		attempt.logStart("answer", s.machineToken(m))
-	}
-	return commands
-}
-
-// stopCommands returns the stop commands that are due on a machine: for
-// orphans, which get no time to save a checkpoint, and for attempts.
-func (s *shard) stopCommands(m *machine, now time.Time) []protocol.Command {
-	var commands []protocol.Command
-	for key, number := range m.orphans {
-		commands = append(commands, stopCommand(key, number, 0))
-	}
-	for key, attempt := range m.attempts {
-		if attempt.stopRequested && attempt.start.IsSent() {
-			attempt.stopSentAt = now
-			commands = append(commands, stopCommand(key, attempt.number, attempt.gracePeriod))
-		}
-	}
-	return commands
-}
-
-// stopCommand returns the command to stop an attempt of a task after a grace
-// period in seconds.
-func stopCommand(key taskKey, attempt uint64, gracePeriod float64) protocol.Command {
-	command := newCommand(protocol.VerbStop, key, attempt)
-	command.GracePeriodSeconds = &gracePeriod
-	return command
-}
--- a/internal/coordination/scale_out.go
+++ b/internal/coordination/scale_out.go
@@ -27,9 +27,15 @@
 	kind  machineKind
 	free  placement.Resources
 	size  placement.Resources
+	slots int // number of tasks that it may still be given
 	isNew bool
 }
 
+// newBin returns an empty machine.
+func newBin(kind machineKind, size placement.Resources) scaleOutBin {
+	return scaleOutBin{kind: kind, free: size, size: size, slots: protocol.MaxReportedTasks}
+}
+
 // planScaleOut computes which machines to request for unplaced tasks: they are packed
 // onto booting machines first, then onto new machines of the best-scoring type.
 //
@@ -62,7 +68,7 @@
 		isLate := m.health == failuredetector.Suspect || m.isRecentlyGranted(p.input.heartbeatInterval, now)
 		isUsable := !m.isExpired() && !m.cordoned && !m.slow && !m.releasing && m.reclaimAt.IsZero()
 		if isLate && isUsable {
-			p.bins = append(p.bins, scaleOutBin{kind: m.kind(), free: m.freeCapacity(), size: m.capacity})
+			p.bins = append(p.bins, scaleOutBin{kind: m.kind(), free: m.freeCapacity(), size: m.capacity, slots: m.freeTaskSlots()})
 		}
 	}
 }
@@ -83,7 +89,7 @@
 		}
 		size := p.input.machineSize(request.Kind.MachineType)
 		for range request.Count {
-			p.bins = append(p.bins, scaleOutBin{kind: request.Kind, free: size, size: size})
+			p.bins = append(p.bins, newBin(request.Kind, size))
 			count++
 		}
 	}
@@ -112,7 +118,7 @@
 	newKind, canRequest := p.shard.selectKind(j, kinds, p.input)
 	selector := p.input.params.NewSelector(j.taskResources)
 	for i, bin := range p.bins {
-		if bin.free.Fits(j.taskResources) && j.allows(bin.kind.MachineType, bin.kind.Zone, bin.kind.Spot) {
+		if bin.slots > 0 && bin.free.Fits(j.taskResources) && j.allows(bin.kind.MachineType, bin.kind.Zone, bin.kind.Spot) {
 			selector.Add(i, bin.free, bin.size, 0)
 		}
 	}
@@ -125,8 +131,13 @@
 			i = p.addNew(newKind)
 			selector.Add(i, p.bins[i].free, p.bins[i].size, 0)
 		}
-		selector.PlaceOnBest()
 		p.bins[i].free = p.bins[i].free.Sub(j.taskResources)
+		p.bins[i].slots--
+		if p.bins[i].slots > 0 {
+			selector.PlaceOnBest()
+		} else {
+			selector.RemoveBest()
+		}
 		if !p.bins[i].isNew {
 			onKnownMachines++
 		}
@@ -146,7 +157,9 @@
 // addNew adds a bin for a machine to request, and returns its index.
 func (p *scaleOutPlanner) addNew(kind machineKind) int {
 	size := p.input.machineSize(kind.MachineType)
-	p.bins = append(p.bins, scaleOutBin{kind: kind, free: size, size: size, isNew: true})
+	bin := newBin(kind, size)
+	bin.isNew = true
+	p.bins = append(p.bins, bin)
 	p.maxNew--
 	return len(p.bins) - 1
 }
--- a/internal/coordination/shard_fences.go
+++ b/internal/coordination/shard_fences.go
@@ -18,15 +18,12 @@
 // token the worker rejects what was sent before.
 
 const (
-	// taskStatusBytes is an upper bound on the encoded size of an ended attempt in a
-	// heartbeat, in bytes.
-	taskStatusBytes = 128
 	// retainedShare is the fraction of a heartbeat's maximum size that retained attempts may
 	// take.
 	retainedShare = 0.25
 	// maxRetainedAttempts is the number of retained attempts from which on a machine gets no
 	// more direct starts. Those that it has run by then may be added.
-	maxRetainedAttempts = retainedShare * protocol.MaxBodyBytes / taskStatusBytes
+	maxRetainedAttempts = retainedShare * protocol.MaxBodyBytes / protocol.MaxTaskStatusBytes
 )
 
 // fenceInterval returns the minimum time between two fences of a shard. Workers report a newer
--- a/internal/coordination/sim_direct_test.go
+++ b/internal/coordination/sim_direct_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -100,9 +101,22 @@
 			w.violationf("a clear is sent directly to %s, and may arrive late", c.address)
 		}
 	}
+	w.checkSize("direct message to "+c.address, len(c.Commands), protocol.MaxBodyBytes, c.DirectCommands)
 	w.checkTokenOwner(c.address, c.FencingToken, c.sender)
 }
 
+// checkSize checks that a message with a number of entries is within a size limit of the
+// protocol. The caller holds the world's lock.
+func (w *world) checkSize(what string, entries, maxBytes int, message any) {
+	if entries*protocol.MaxTaskStatusBytes < maxBytes/2 {
+		return // far below the limit: the encoding is not worth its time
+	}
+	w.recordEventLocked("a message of half its largest size")
+	if raw, _ := json.Marshal(message); len(raw) > maxBytes {
+		w.violationf("too_large: %s has %d bytes in %d entries", what, len(raw), entries)
+	}
+}
+
 // machineTokenKey is a machine and a fencing token that it received.
 type machineTokenKey struct {
 	machine string
--- a/internal/coordination/sim_waiting_test.go
+++ b/internal/coordination/sim_waiting_test.go
@@ -41,7 +41,8 @@
 			o.tasks[t.name] = m
 			o.zones[t.job.ID] = append(o.zones[t.job.ID], m)
 		}
-		if m.session > 0 && !m.dead && m.warningS == nil && !time.Now().Before(m.hungUntil) {
+		hasSlot := len(m.tasks) < protocol.MaxReportedTasks // its heartbeats can list another task
+		if m.session > 0 && !m.dead && m.warningS == nil && hasSlot && !time.Now().Before(m.hungUntil) {
 			o.free[m.id] = free
 		}
 	}
--- a/internal/coordination/sim_worker_test.go
+++ b/internal/coordination/sim_worker_test.go
@@ -248,6 +248,7 @@
 	for _, t := range m.tasks {
 		r.Tasks = append(r.Tasks, protocol.TaskStatus{Task: t.name, Attempt: t.attempt, State: t.status, Cause: t.cause})
 	}
+	m.w.checkSize("heartbeat of "+m.id, len(r.Tasks), protocol.MaxBodyBytes, r)
 	return r
 }
 
@@ -330,6 +331,7 @@
 		if orders.FencingToken > m.token {
 			m.token, m.changed = orders.FencingToken, true
 		}
+		w.checkSize("answer to "+m.id, len(orders.Commands), protocol.MaxLineBytes, orders)
 		m.lastAcknowledged = sent
 		m.answeredByProxy = !relayed && !holds
 		switch {
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -5,9 +5,6 @@
 	"regexp"
 )
 
-// MaxBodyBytes bounds the body of a user's request.
-const MaxBodyBytes = 64 << 10
-
 // Priority orders jobs; higher values are scheduled first.
 type Priority uint8
 
