Responses to users: no line over 64 KiB

What callers saw: the dependencies of a job that has as many as values of 64 KiB allow, 1,365, came in one line of up to 113 KB; PROTOCOL allows 64 KiB a line. Cause: nothing looked at the length of a response.

Fix: a response over 64 KiB is sent with its fields on lines of their own; any other is the same to the byte. Evidence: TestLongResponseIsSplitIntoLines failed before with a line of 113,339 bytes.

--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -142,7 +143,20 @@
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		c.Response().Header().Set("Retry-After", retryAfterSeconds)
 	}
-	return c.JSON(status, response)
+	return sendJSON(c, status, response)
+}
+
+// sendJSON sends a value as JSON on one line, or on several if a line would be over
+// protocol.MaxLineBytes.
+func sendJSON(c echo.Context, status int, response any) error {
+	raw, err := json.Marshal(response)
+	if err != nil {
+		return err
+	}
+	if len(raw) > protocol.MaxLineBytes {
+		return c.JSONPretty(status, json.RawMessage(raw), " ")
+	}
+	return c.JSONBlob(status, append(raw, '\n'))
 }
 
 func respondInvalidBody(c echo.Context, err error) error {
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -13,10 +15,11 @@
 // fakeService responds to user requests with status. If entered is set, Submit sends on
 // it and blocks until leave is closed.
 type fakeService struct {
-	status  int
-	entered chan struct{}
-	leave   chan struct{}
-	ready   bool
+	status   int
+	response any // of JobStatus
+	entered  chan struct{}
+	leave    chan struct{}
+	ready    bool
 }
 
 func (s *fakeService) Submit(context.Context, []byte) (int, any) {
@@ -27,7 +30,7 @@
 	return s.status, protocol.ErrorResponse{Error: "x"}
 }
 
-func (s *fakeService) JobStatus(context.Context, string) (int, any) { return s.status, nil }
+func (s *fakeService) JobStatus(context.Context, string) (int, any) { return s.status, s.response }
 
 func (s *fakeService) Dependencies(context.Context, string) (int, any) {
 	return http.StatusNotFound, nil
@@ -76,3 +79,31 @@
 		t.Errorf("unknown path: %d", w.Code)
 	}
 }
+
+// Guards against a line over the protocol's limit: a longer response takes several lines and
+// has the same content.
+func TestLongResponseIsSplitIntoLines(t *testing.T) {
+	for _, count := range []int{1, 100, 1365} { // as many as a job may have dependencies
+		dependencies := protocol.JobDependencies{ID: "wk-999999999999999999"}
+		for range count {
+			status := protocol.JobStatus{ID: "wk-999999999999999999", Status: protocol.Cancelled, Done: 100_000, Running: 100_000}
+			dependencies.DependsOn = append(dependencies.DependsOn, status)
+		}
+		h := NewServer(&fakeService{status: http.StatusOK, response: dependencies}, 1).Handler
+		w := serveRequest(h, "GET", "/v1/jobs/wk-1", "")
+		var got protocol.JobDependencies
+		if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil || !slices.Equal(got.DependsOn, dependencies.DependsOn) {
+			t.Errorf("%d dependencies: got %d, %v", count, len(got.DependsOn), err)
+		}
+		lines := 0
+		for line := range strings.Lines(w.Body.String()) {
+			lines++
+			if len(line) > protocol.MaxLineBytes {
+				t.Errorf("%d dependencies: a line of %d bytes", count, len(line))
+			}
+		}
+		if isLong := w.Body.Len() > protocol.MaxLineBytes; isLong != (lines > 1) {
+			t.Errorf("%d dependencies: %d bytes in %d lines", count, w.Body.Len(), lines)
+		}
+	}
+}
