Transactions fit 64 KiB with values of 64 KiB, and with thousands of delegated machines

What callers saw: where state.value_kb is 64 or more, a job whose record takes all of it is answered 503 for ever, since the record with its keys is over 64 KiB (65,697 bytes). And a heartbeat proxy that asks for over some 4,600 machines of one shard writes a transaction of up to 112 KB, which the store refuses each time: no machine is delegated. Cause: the size of a value was bounded, that of the transaction around it was not.

Fix: a value takes 63 KiB at most. A proxy delegates as many machines as one transaction holds, 4,018 with values of 16 KiB, and leaves the rest to the holder; before, records beyond txn_ops stayed unwritten while BeginRemoval took all machines for kept. Progress in the job's own record, before the schema upgrade, has the same bound.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -9,8 +9,10 @@
 	baseRecordBytes    = 512 // everything else
 )
 
-// maxRequestBytes is the maximum size of a request to the key-value store.
-const maxRequestBytes = 64 << 10
+// maxRequestValueBytes is the maximum size of a value that one request to the key-value store
+// can write, in bytes. The rest of the request's 64 KiB holds keys, preconditions and a second,
+// small value.
+const maxRequestValueBytes = 63 << 10
 
 // dependencyBytes is the size of one dependency in a job's record.
 const dependencyBytes = len(`"wk-000000000000000000",`)
@@ -22,8 +24,8 @@
 	TxnOps   int     `toml:"txn_ops"`   // maximum number of writes in a transaction
 }
 
-// MaxValueBytes returns the maximum size of a value in bytes.
-func (l Limits) MaxValueBytes() int { return min(int(l.ValueKB*1024), maxRequestBytes) }
+// MaxValueBytes returns the maximum size of a value in bytes, such that a request can write it.
+func (l Limits) MaxValueBytes() int { return min(int(l.ValueKB*1024), maxRequestValueBytes) }
 
 // currentStoreLimits returns the limits that currently apply.
 func (s *Settings) currentStoreLimits() Limits {
--- a/internal/coordination/delegations.go
+++ b/internal/coordination/delegations.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"reedtrack/internal/clusterstate"
+	"reedtrack/internal/config"
 	"reedtrack/internal/heartbeatproxy"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
@@ -152,7 +153,7 @@
 	proxy := &n.heartbeatProxy
 	for _, shardIndex := range slices.Sorted(maps.Keys(proxy.delegations)) {
 		delegation, delegated := proxy.delegations[shardIndex], n.observeDelegation(shardIndex, now)
-		desired := n.filterGranted(shardIndex, delegation.Desired(now))
+		desired := limitDelegated(n.filterGranted(shardIndex, delegation.Desired(now)), n.storeLimits())
 		records := n.ownDelegationRecords(shardIndex)
 		if !delegation.NeedsWrite(desired, delegated) && (len(desired) > 0 || len(records) == 0) {
 			if len(records) == 0 && delegation.IsEmpty() {
@@ -188,10 +189,28 @@
 	return own
 }
 
-// delegationTxn returns the transaction that writes the delegated machines into as many
-// records as they need, conditional on the revisions of these records and of the shard,
-// and deletes surplus records. Writes beyond the size limit of a transaction are left to
-// the next one.
+// delegationRecordBytes returns the maximum size of a delegation record.
+func delegationRecordBytes(limits config.Limits) int {
+	return limits.MaxValueBytes() / delegationSizeDivisor
+}
+
+// limitDelegated returns the first of the names, as many as one transaction can write. The
+// others are left to the holder: with some of the records unwritten, a machine that moves from
+// one record to another would for a while be in none.
+func limitDelegated(names []string, limits config.Limits) []string {
+	recordBytes := delegationRecordBytes(limits)
+	maxRecords := min(limits.TxnOps, protocol.MaxBodyBytes/(recordBytes+recordOverhead))
+	count := 0
+	for record := 0; record < maxRecords && count < len(names); record++ {
+		count += countFitting(names[count:], recordBytes)
+	}
+	return names[:count]
+}
+
+// delegationTxn returns the transaction that writes the delegated machines, as limited by
+// limitDelegated, into as many records as they need, conditional on the revisions of these
+// records and of the shard, and deletes surplus records. Deletions beyond the size limit of a
+// transaction are left to the next one.
 func (n *Node) delegationTxn(shardIndex int, names []string, existing map[int]clusterstate.Entry[storage.Delegation]) protocol.Txn {
 	limits := n.storeLimits()
 	shard := n.records.Shards[shardIndex]
@@ -204,8 +223,8 @@
 		return key
 	}
 	record := 0
-	for ; len(names) > 0 && len(txn.Writes) < limits.TxnOps; record++ {
-		count := countFitting(names, limits.MaxValueBytes()/delegationSizeDivisor)
+	for ; len(names) > 0; record++ {
+		count := countFitting(names, delegationRecordBytes(limits))
 		txn.Writes = append(txn.Writes, protocol.Write{
 			Put:     requireUnchanged(record),
 			Value:   storage.Delegation{Session: n.session.id, FencingToken: shard.Value.FencingToken, Machines: names[:count]},
--- a/internal/coordination/job_writes.go
+++ b/internal/coordination/job_writes.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"reedtrack/internal/config"
 	"reedtrack/internal/latency"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
@@ -146,7 +147,8 @@
 // take the part of the record that checkRecordSize does not leave to the
 // specification; tasks that don't fit are left out.
 func (n *Node) encodeCompleted(j *job) string {
-	return j.done.StringWithin(int(n.settings.Deployment.State.ValueKB*1024) * (specSizeDivisor - 1) / specSizeDivisor)
+	limits := config.Limits{ValueKB: n.settings.Deployment.State.ValueKB}
+	return j.done.StringWithin(limits.MaxValueBytes() * (specSizeDivisor - 1) / specSizeDivisor)
 }
 
 // unsavedChunks returns the completion chunks with tasks that the records do not
--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
+	"sort"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 
 	"reedtrack/internal/clusterstate"
 	"reedtrack/internal/config"
+	"reedtrack/internal/emulator"
 	"reedtrack/internal/protocol"
 	"reedtrack/internal/storage"
 )
@@ -189,3 +192,94 @@
 		t.Errorf("%d transactions %+v", len(sent), sent)
 	}
 }
+
+// expectWithinLimits checks a transaction against the limits of the protocol.
+func expectWithinLimits(t *testing.T, what string, txn protocol.Txn, limits config.Limits) {
+	t.Helper()
+	store := emulator.NewKVStore()
+	store.SetLimits(int(limits.ValueKB*1024), limits.TxnOps, 0)
+	raw, _ := json.Marshal(txn)
+	store.Handle(t.Context(), http.MethodPost, "/multi", nil, raw)
+	for _, reason := range store.TakeOversized() {
+		t.Errorf("%s: %s", what, reason)
+	}
+}
+
+// Guards against writes that the store refuses for ever, at every size of values: of the
+// largest record of a job that is accepted, of the progress of a job of 100,000 tasks before
+// and after the schema upgrade, and of the delegation of thousands of machines.
+func TestLargestWritesAreWithinLimits(t *testing.T) {
+	for _, valueKB := range []float64{1, 2, 16, 32, 63, 64, 200} {
+		t.Run(fmt.Sprintf("values of %g KiB", valueKB), func(t *testing.T) {
+			w := newWorld(1, nil)
+			w.settings.Deployment.State.ValueKB = valueKB
+			var sent []protocol.Txn
+			n := New(w.settings, w.settings.Defaults(), storage.NewClientWithTransport(txnRecorder{&sent}, 1000, 1000, 1), nil, nil, nil)
+			limits := n.storeLimits()
+			for _, schema := range []int{storage.SchemaWhole, storage.SchemaChunked} {
+				applyRecord(t, n, storage.SchemaVersionKey, storage.SchemaVersion{Version: schema}, uint64(2+schema))
+				record := largestJobRecord(t, n)
+				if _, err := n.acceptJob(t.Context(), record); err != nil {
+					t.Fatal(err)
+				}
+				expectWithinLimits(t, "job record", sent[len(sent)-1], limits)
+				expectWithinLimits(t, "progress", progressOfLargestJob(n, record), limits)
+			}
+			delegated, txn := delegationOfManyMachines(n)
+			expectWithinLimits(t, "delegation", txn, limits)
+			if written := countDelegated(txn); written != delegated || delegated == 0 {
+				t.Errorf("%d machines are delegated, %d are written", delegated, written)
+			}
+		})
+	}
+}
+
+// largestJobRecord returns the largest record of a job of 100,000 tasks that is accepted.
+func largestJobRecord(t *testing.T, n *Node) *storage.Job {
+	t.Helper()
+	record := &storage.Job{Spec: protocol.Job{ID: "wk-999999999999999999", Type: "array", Tasks: 100_000, MachineTypes: []string{""}}}
+	fits := func(bytes int) bool {
+		record.Spec.MachineTypes[0] = strings.Repeat("x", bytes)
+		return n.checkRecordSize(record) == nil
+	}
+	largest := sort.Search(protocol.MaxBodyBytes, func(bytes int) bool { return !fits(bytes) }) - 1
+	if largest < 0 || !fits(largest) {
+		t.Fatal("no record is accepted")
+	}
+	return record
+}
+
+// progressOfLargestJob returns the first progress write of a job of which every other task is
+// done, which takes the most space.
+func progressOfLargestJob(n *Node, record *storage.Job) protocol.Txn {
+	applyLiveJob(n, 5, record.Spec)
+	j := n.newJob(n.records.Jobs[record.Spec.ID])
+	for task := 0; task < j.spec.Tasks; task += 2 {
+		j.done.Add(task)
+	}
+	s := newShard(0, storage.ShardLease{FencingToken: 1}, 1, time.Now())
+	write := jobWrite{job: j, done: j.done.Len()}
+	write.txn.Preconditions = jobPreconditions(s, j)
+	n.addProgress(&write)
+	return write.txn
+}
+
+// delegationOfManyMachines returns a delegation out of more machines than fit into a
+// transaction, and the number of those that are to be delegated.
+func delegationOfManyMachines(n *Node) (delegated int, txn protocol.Txn) {
+	var names []string
+	for i := range 8000 {
+		names = append(names, fmt.Sprintf("host-%06d", i))
+	}
+	names = limitDelegated(names, n.storeLimits())
+	return len(names), n.delegationTxn(0, names, nil)
+}
+
+// countDelegated counts the machines in a delegation.
+func countDelegated(txn protocol.Txn) int {
+	count := 0
+	for _, write := range txn.Writes {
+		count += len(write.Value.(storage.Delegation).Machines)
+	}
+	return count
+}
