Emulators refuse what PROTOCOL refuses; a job of 1,600 tiny tasks with real processes

Now requests over 64 KiB get 400, workers discard a response with a line over 64 KiB and send no heartbeat over it, the store checks keys, life_ms and wait_ms, the cloud the number of machines to release and the limit of a page. What is refused is recorded (TakeOversized), and the tests with processes expect nothing there.

A check replaced by a stricter one: TestControllersRestartDuringJob waited for '"done"' in a job's status, which is also the name of a field and so was there at once. It waits for the status now.

--- a/cmd/reedtrack/process_test.go
+++ b/cmd/reedtrack/process_test.go
@@ -140,13 +140,38 @@
 	d.waitFor("the address in use is found", 10*time.Second, func() bool { return first.log.hasLine("in use", first.listen) })
 	blocker.Close()
 	d.waitFor("a controller acts", 10*time.Second, func() bool { return second.isUp() && second.job(jobID) != "" })
-	d.waitFor("the job is done", 30*time.Second, func() bool { return strings.Contains(first.job(jobID), `"done"`) })
+	d.waitFor("the job is done", 30*time.Second, func() bool { return strings.Contains(first.job(jobID), `"status":"done"`) })
 	for task, count := range d.fleet.StartCounts() {
 		if count != 1 {
 			t.Errorf("%s was started %d times", task, count)
 		}
 	}
+	d.expectWithinLimits()
+}
+
+// expectWithinLimits reports an error for messages over a size limit of the protocol.
+func (d *testDeployment) expectWithinLimits() {
+	d.t.Helper()
 	if oversized := d.store.TakeOversized(); len(oversized) > 0 {
-		t.Errorf("over the limits of the key-value store: %v", oversized)
+		d.t.Errorf("over the limits of the key-value store: %v", oversized)
+	}
+	if oversized := d.fleet.TakeOversized(); len(oversized) > 0 {
+		d.t.Errorf("over the limits of workers or cloud: %v", oversized)
+	}
+}
+
+// Guards against a job that never starts because the commands to its machine, or the machine's
+// heartbeats, are over the protocol's limits: far more of its tasks fit on the machine.
+func TestManyTinyTasksAreDone(t *testing.T) {
+	d := startDeployment(t)
+	const jobID, tasks = "wk-000001", 1600
+	d.submit(fmt.Sprintf(`{"id":%q,"jobclass":"demo","owner":"demo","shape":"array","urgency":"normal","parts":%d,
+		"cores":0.0025,"cards":0.0,"ram_gb":0.01,"bundle":"demo","pull_gb":0.1,"breeds":null,"yard":null,"one_zone":false,"spread":false,
+		"loaners":true,"guess_s":0.5,"save_every_s":0.0,"save_takes_s":0.0,"due_s":null}`, jobID, tasks))
+	d.waitFor("the job is done", 60*time.Second, func() bool { return strings.Contains(d.controllers[0].job(jobID), `"status":"done"`) })
+	starts := d.fleet.StartCounts()
+	if len(starts) != tasks {
+		t.Errorf("%d of %d tasks were started", len(starts), tasks)
 	}
+	d.expectWithinLimits()
 }
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -41,6 +43,7 @@
 	starts      map[string]int      // task name to number of starts
 	jobs        map[string]*protocol.Job
 	commands    map[string]Command // job ID to the command of its tasks
+	oversized   []string           // messages over a size limit; see TakeOversized
 }
 
 // NewFleet returns a fleet without machines.
@@ -67,6 +70,21 @@
 	return maps.Clone(f.starts)
 }
 
+// TakeOversized returns and clears descriptions of messages over a size limit of the
+// protocol: those that workers or cloud rejected, and heartbeats that a worker could not send.
+func (f *Fleet) TakeOversized() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	oversized := f.oversized
+	f.oversized = nil
+	return oversized
+}
+
+// recordOversized records a message over a size limit. The caller holds f.mu.
+func (f *Fleet) recordOversized(what string, size int) {
+	f.oversized = append(f.oversized, fmt.Sprintf("%s: %d", what, size))
+}
+
 // Stop stops the workers and tasks of all machines.
 func (f *Fleet) Stop() {
 	f.mu.Lock()
@@ -79,9 +97,14 @@
 // ServeHTTP implements the cloud API. It also accepts job descriptions at /describe, which
 // tell workers which commands the tasks of a job run.
 func (f *Fleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body := readBody(r)
+	body, ok := readBody(r)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !ok {
+		f.recordOversized("body of "+r.URL.Path, len(body))
+		writeError(w, http.StatusBadRequest, "body over 64 KiB")
+		return
+	}
 	switch {
 	case r.URL.Path == "/catalog":
 		writeJSON(w, http.StatusOK, protocol.Catalog{MachineTypes: f.MachineTypes})
@@ -92,7 +115,7 @@
 	case r.URL.Path == "/machines/release":
 		f.serveRelease(w, body)
 	case r.URL.Path == "/machines":
-		writeJSON(w, http.StatusOK, f.list(r.URL.Query().Get("since")))
+		f.serveList(w, r.URL.Query())
 	default:
 		writeError(w, http.StatusNotFound, "no such path")
 	}
@@ -129,7 +152,11 @@
 
 func (f *Fleet) serveRelease(w http.ResponseWriter, body []byte) {
 	var request protocol.MachineNames
-	json.Unmarshal(body, &request)
+	if json.Unmarshal(body, &request) != nil || len(request.Machines) > protocol.MaxMachinesPerRelease {
+		f.recordOversized("machines to release", len(request.Machines))
+		writeError(w, http.StatusBadRequest, "malformed")
+		return
+	}
 	for _, id := range request.Machines {
 		if worker := f.workers[id]; worker != nil {
 			worker.release()
@@ -164,6 +191,21 @@
 	return names
 }
 
+// serveList serves one page of the machine list.
+func (f *Fleet) serveList(w http.ResponseWriter, query url.Values) {
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit < 1 || limit > protocol.MaxMachinesPerPage {
+		f.recordOversized("limit of a page", limit)
+		writeError(w, http.StatusBadRequest, "malformed")
+		return
+	}
+	page := f.list(query.Get("since"))
+	if len(page.Machines) > limit {
+		page.Machines, page.HasNext = page.Machines[:limit], true
+	}
+	writeJSON(w, http.StatusOK, page)
+}
+
 // list returns the machines whose names sort after the given one. The caller holds f.mu.
 func (f *Fleet) list(after string) protocol.MachineList {
 	var l protocol.MachineList
--- a/internal/emulator/http.go
+++ b/internal/emulator/http.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -8,14 +9,20 @@
 	"reedtrack/internal/protocol"
 )
 
-// maxBodyBytes is the maximum number of bytes read of a request body; the emulated
-// services receive no larger one.
-const maxBodyBytes = 1 << 20
+// readBody returns the body of a request. ok is false if the request must be rejected,
+// because it can't be read or is over protocol.MaxBodyBytes.
+func readBody(r *http.Request) (body []byte, ok bool) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxBodyBytes+1))
+	return body, err == nil && len(body) <= protocol.MaxBodyBytes
+}
 
-// readBody returns the body of a request, truncated to maxBodyBytes.
-func readBody(r *http.Request) []byte {
-	body, _ := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	return body
+// longestLine returns the length of the longest line of a response in bytes.
+func longestLine(response []byte) int {
+	longest := 0
+	for line := range bytes.Lines(response) {
+		longest = max(longest, len(bytes.TrimRight(line, "\r\n")))
+	}
+	return longest
 }
 
 // writeJSON sends a response. Status 0, for a cancelled request, is sent as 503.
--- a/internal/emulator/kvstore.go
+++ b/internal/emulator/kvstore.go
@@ -128,8 +128,8 @@
 	return http.StatusOK, protocol.TxnResponse{Revision: s.revision}
 }
 
-// exceededLimit describes the size limit that a transaction of size bytes exceeds, or
-// returns an empty string.
+// exceededLimit describes the size limit that a transaction of size bytes exceeds, or its
+// first invalid key, or returns an empty string.
 func (s *KVStore) exceededLimit(t *protocol.Txn, size int) string {
 	if s.maxTxnOps > 0 && (len(t.Writes) > s.maxTxnOps || len(t.Preconditions) > preconditionsPerWrite*s.maxTxnOps) {
 		return fmt.Sprintf("%d writes under %d conditions", len(t.Writes), len(t.Preconditions))
@@ -137,7 +137,15 @@
 	if size > protocol.MaxBodyBytes {
 		return fmt.Sprintf("%d bytes in all", size)
 	}
+	for _, c := range t.Preconditions {
+		if !isValidKey(c.Key) {
+			return fmt.Sprintf("invalid key %q", c.Key)
+		}
+	}
 	for _, w := range t.Writes {
+		if !isValidKey(w.Put + w.Delete) {
+			return fmt.Sprintf("invalid key %q", w.Put+w.Delete)
+		}
 		if raw, _ := json.Marshal(w.Value); s.maxValueBytes > 0 && len(raw) > s.maxValueBytes {
 			return fmt.Sprintf("%d bytes at %s", len(raw), w.Put)
 		}
--- a/internal/emulator/kvstore_handler.go
+++ b/internal/emulator/kvstore_handler.go
@@ -19,8 +19,19 @@
 	pageSize = 20
 	// outagePoll is how often a watch checks whether an outage is over.
 	outagePoll = 100 * time.Millisecond
+
+	// Limits of the protocol.
+	minLease    = 100 * time.Millisecond
+	maxLease    = 10 * time.Minute
+	maxWait     = time.Minute // of a watch
+	maxKeyBytes = 200
 )
 
+// isValidKey reports whether the store accepts a key.
+func isValidKey(key string) bool {
+	return key != "" && len(key) <= maxKeyBytes && !strings.Contains(key, " ")
+}
+
 // Handle handles a request without HTTP and returns the status and the value to send as
 // JSON. Status 0 means that ctx ended first.
 func (s *KVStore) Handle(ctx context.Context, method, path string, query map[string][]string, body []byte) (int, any) {
@@ -29,7 +40,11 @@
 		var since, waitMS uint64
 		fmt.Sscan(q.Get("since"), &since)
 		fmt.Sscan(q.Get("wait_ms"), &waitMS)
-		return s.watch(ctx, q.Get("under"), since, time.Duration(waitMS)*time.Millisecond)
+		wait := time.Duration(waitMS) * time.Millisecond
+		if wait > maxWait {
+			return http.StatusBadRequest, protocol.ErrorResponse{Error: "wait_ms"}
+		}
+		return s.watch(ctx, q.Get("under"), since, wait)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -42,7 +57,11 @@
 	case path == "/grants":
 		var g protocol.LeaseGrant
 		json.Unmarshal(body, &g)
-		return http.StatusOK, protocol.LeaseGrant{LeaseID: s.grant(time.Duration(g.TTLMilliseconds) * time.Millisecond)}
+		duration := time.Duration(g.TTLMilliseconds) * time.Millisecond
+		if duration < minLease || duration > maxLease {
+			return http.StatusBadRequest, protocol.ErrorResponse{Error: "life_ms"}
+		}
+		return http.StatusOK, protocol.LeaseGrant{LeaseID: s.grant(duration)}
 	case strings.HasPrefix(path, "/grants/"):
 		return s.handleLease(method, path)
 	case path == "/keys":
@@ -135,7 +154,11 @@
 // ServeHTTP serves the store over HTTP. A POST of value_kb, txn_ops and write_rps to
 // /limits sets the limits.
 func (s *KVStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body := readBody(r)
+	body, ok := readBody(r)
+	if !ok {
+		s.rejectBody(w, r.URL.Path)
+		return
+	}
 	if r.URL.Path == "/limits" {
 		s.serveLimits(w, body)
 		return
@@ -144,6 +167,14 @@
 	writeJSON(w, status, response)
 }
 
+// rejectBody rejects a request whose body is too large.
+func (s *KVStore) rejectBody(w http.ResponseWriter, path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oversized = append(s.oversized, "body of "+path)
+	writeError(w, http.StatusBadRequest, "body over 64 KiB")
+}
+
 func (s *KVStore) serveLimits(w http.ResponseWriter, body []byte) {
 	var limits struct {
 		ValueKB  int `json:"value_kb"`
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -154,19 +155,36 @@
 	redirect string // controller to use, with http.StatusMisdirectedRequest
 }
 
-// sendHeartbeat sends a heartbeat to the controller at the given address.
+// sendHeartbeat sends a heartbeat to the controller at the given address. A response over a
+// size limit is discarded, and a heartbeat over it is not sent.
 func (f *Fleet) sendHeartbeat(address string, heartbeat protocol.Heartbeat) heartbeatResponse {
 	raw, _ := json.Marshal(heartbeat)
+	if len(raw) > protocol.MaxBodyBytes {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.recordOversized("heartbeat", len(raw))
+		return heartbeatResponse{}
+	}
 	resp, err := f.client.Post("http://"+address+"/checkin", "application/json", bytes.NewReader(raw))
 	if err != nil {
 		return heartbeatResponse{}
 	}
 	defer resp.Body.Close()
+	raw, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return heartbeatResponse{}
+	}
+	if longest := longestLine(raw); longest > protocol.MaxLineBytes {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.recordOversized("line of a response to a heartbeat", longest)
+		return heartbeatResponse{}
+	}
 	var response struct {
 		protocol.HeartbeatResponse
 		protocol.Redirect
 	}
-	json.NewDecoder(resp.Body).Decode(&response)
+	json.Unmarshal(raw, &response)
 	return heartbeatResponse{status: resp.StatusCode, body: response.HeartbeatResponse, redirect: response.Controller}
 }
 
@@ -188,9 +206,14 @@
 // serveDirect executes direct commands at /do and responds with a heartbeat. It rejects
 // commands with a stale fencing token or for another session.
 func (w *worker) serveDirect(rw http.ResponseWriter, r *http.Request) {
-	body := readBody(r)
+	body, ok := readBody(r)
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
+	if !ok {
+		w.fleet.recordOversized("body of "+r.URL.Path, len(body))
+		writeError(rw, http.StatusBadRequest, "body over 64 KiB")
+		return
+	}
 	if r.URL.Path != "/do" {
 		writeJSON(rw, http.StatusOK, w.heartbeat())
 		return
