--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -234,6 +234,27 @@
 	}
 }
 
+// Guards against a catalog that the store refuses for ever: without its machine types no other
+// controller acquires a shard.
+func TestLargeCatalogIsWithinLimits(t *testing.T) {
+	for _, c := range []struct {
+		machineTypes int
+		limits       config.Limits
+	}{
+		{700, config.Limits{ValueKB: 16, TxnOps: 12}},
+		{70, config.Limits{ValueKB: 2, TxnOps: 4}},
+	} {
+		var catalog protocol.Catalog
+		for i := range c.machineTypes {
+			machineType := simMachineTypes[0]
+			machineType.Name = fmt.Sprintf("type-%d", i)
+			catalog.MachineTypes = append(catalog.MachineTypes, machineType)
+		}
+		what := fmt.Sprintf("catalog of %d types under %+v", c.machineTypes, c.limits)
+		expectWithinLimits(t, what, protocol.Txn{Writes: catalogWrites(catalog, c.limits)}, c.limits)
+	}
+}
+
 // largestJobRecord returns the largest record of a job of 100,000 tasks that is accepted.
 func largestJobRecord(t *testing.T, n *Node) *storage.Job {
 	t.Helper()
--- a/internal/coordination/sim_cloud_test.go
+++ b/internal/coordination/sim_cloud_test.go
@@ -22,11 +22,21 @@
 	return nil
 }
 
+// refuse records a request that the cloud refuses as malformed.
+func (c simCloud) refuse(what string, count int) {
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	c.w.violationf("too_large: %d %s", count, what)
+}
+
 func (c simCloud) Catalog(context.Context) (protocol.Catalog, error) {
 	return protocol.Catalog{MachineTypes: simMachineTypes}, c.call()
 }
 
 func (c simCloud) RequestMachines(_ context.Context, r protocol.MachineRequest) ([]string, error) {
+	if r.Count < 1 || r.Count > protocol.MaxMachinesPerRequest {
+		c.refuse("machines to rent", r.Count)
+	}
 	if err := c.call(); err != nil {
 		return nil, err
 	}
@@ -93,6 +103,9 @@
 }
 
 func (c simCloud) Release(_ context.Context, names []string) error {
+	if len(names) > protocol.MaxMachinesPerRelease {
+		c.refuse("machines to release", len(names))
+	}
 	if err := c.call(); err != nil {
 		return err
 	}
