Tiny tasks leave an eighth of a machine's slots to others, and queue by their slots

Fix: tasks of which more would fit on the empty machine than it has slots leave 63 of 504 slots to others, in placement, scale-out, preemption, draining and migration; in the queue's order a task counts with the cores that belong to a slot at least. No task of 1/504 of a machine or more is treated differently.

--- a/internal/coordination/drain.go
+++ b/internal/coordination/drain.go
@@ -142,7 +142,7 @@
 	i := p.input.params.SelectBest(len(machines), func(i int) (placement.Resources, placement.Resources, bool) {
 		other := machines[i]
 		free := other.freeCapacity().Sub(reserved[other].resources)
-		hasSlot := other.freeTaskSlots() > reserved[other].tasks
+		hasSlot := slotsFor(other.freeTaskSlots()-reserved[other].tasks, other.capacity, j.taskResources) > 0
 		ok := other != m && !other.draining && hasSlot && p.input.price(other.kind()) <= p.input.price(m.kind()) &&
 			free.Fits(j.taskResources) && j.allowsMachine(other) && j.zoneAllows(other.lease.Zone)
 		return free.Sub(j.taskResources), other.capacity, ok
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -199,6 +199,28 @@
 	return m.isSchedulable() && !m.draining && m.freeTaskSlots() > 0
 }
 
+// reservedTaskSlots is the number of a machine's task slots that tiny tasks leave to others: the
+// machine's capacity would be idle if tasks that take next to none of it had all slots.
+const reservedTaskSlots = protocol.MaxReportedTasks / 8
+
+// slotsFor returns how many tasks with the given needs may have one of the free slots of a
+// machine. Tasks are tiny if more of them fit on the empty machine than it has slots.
+func slotsFor(freeSlots int, capacity, need placement.Resources) int {
+	if freeSlots <= 0 {
+		return 0
+	}
+	if isTiny := capacity.CountFitting(need) > protocol.MaxReportedTasks; isTiny {
+		return max(0, freeSlots-reservedTaskSlots)
+	}
+	return freeSlots
+}
+
+// hasSlotFor reports whether the machine has a slot for one more task of a job.
+func (m *machine) hasSlotFor(j *job) bool {
+	free := m.freeTaskSlots()
+	return free > reservedTaskSlots || slotsFor(free, m.capacity, j.taskResources) > 0
+}
+
 // freeTaskSlots returns how many more tasks the machine's heartbeats can list. A task takes
 // a slot from its placement until a heartbeat shows that the worker has cleared it.
 func (m *machine) freeTaskSlots() int {
--- a/internal/coordination/migration_to_spare_capacity.go
+++ b/internal/coordination/migration_to_spare_capacity.go
@@ -228,7 +228,7 @@
 			break
 		}
 		if free := m.freeCapacity(); free.Fits(j.taskResources) && j.canPlaceOn(m) {
-			count += min(free.CountFitting(j.taskResources), m.freeTaskSlots())
+			count += min(free.CountFitting(j.taskResources), slotsFor(m.freeTaskSlots(), m.capacity, j.taskResources))
 		}
 	}
 	return min(count, limit)
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -39,7 +39,7 @@
 // canPlaceOn reports whether one more task of the job may be placed on a machine,
 // regardless of free capacity.
 func (j *job) canPlaceOn(m *machine) bool {
-	return m.acceptsTasks() && j.canRunOn(m) && j.hasTaskFor(m)
+	return m.acceptsTasks() && m.hasSlotFor(j) && j.canRunOn(m) && j.hasTaskFor(m)
 }
 
 // canRunOn reports whether the constraints of the job permit one more task on a
@@ -224,7 +224,7 @@
 		if !known { // computed only when needed: it is expensive, and most heartbeats free no capacity
 			unreported, known = s.unreportedCapacity(), true
 		}
-		allowed := min(s.remainingQuota(j, teams, unreported), m.freeTaskSlots())
+		allowed := min(s.remainingQuota(j, teams, unreported), slotsFor(m.freeTaskSlots(), m.capacity, j.taskResources))
 		for n := allowed; n > 0 && free.Fits(j.taskResources) && j.zoneAllows(m.lease.Zone); n-- {
 			task := j.takeTaskFor(m)
 			if task < 0 {
@@ -286,7 +286,7 @@
 			continue
 		}
 		placed = append(placed, p.shard.place(j, task, machines[i]))
-		if machines[i].freeTaskSlots() > 0 {
+		if machines[i].hasSlotFor(j) {
 			selector.PlaceOnBest()
 		} else {
 			selector.RemoveBest()
--- a/internal/coordination/preemption.go
+++ b/internal/coordination/preemption.go
@@ -17,6 +17,12 @@
 	slots    int // see freeTaskSlots
 }
 
+// hasSlotFor reports whether the machine has, or is about to have, a slot for one more task of
+// a job.
+func (f *freeSpace) hasSlotFor(j *job) bool {
+	return slotsFor(f.slots, f.machine.capacity, j.taskResources) > 0
+}
+
 // excludeStopping leaves out tasks that will fit once stopping attempts have ended.
 func (p *planner) excludeStopping(unplaced []unplacedTasks) []unplacedTasks {
 	var stopping []*freeSpace
@@ -46,7 +52,7 @@
 	for _, tasks := range unplaced {
 		j := tasks.job
 		for _, space := range spaces {
-			for tasks.count > 0 && space.slots > 0 && space.capacity.Fits(j.taskResources) && j.canRunOn(space.machine) {
+			for tasks.count > 0 && space.hasSlotFor(j) && space.capacity.Fits(j.taskResources) && j.canRunOn(space.machine) {
 				space.capacity = space.capacity.Sub(j.taskResources)
 				space.slots--
 				tasks.count--
@@ -158,7 +164,7 @@
 	}
 	var chosen []int
 	chosen, candidate.loss = placement.SelectVictims(m.freeCapacity(), j.taskResources, victims)
-	if len(chosen) == 0 && m.freeTaskSlots() <= 0 && m.freeCapacity().Fits(j.taskResources) {
+	if len(chosen) == 0 && !m.hasSlotFor(j) && m.freeCapacity().Fits(j.taskResources) {
 		chosen, candidate.loss = cheapestVictim(victims) // only its slot is needed
 	}
 	for _, k := range chosen {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -52,13 +52,14 @@
 	snapshot := policy.Snapshot{Jobs: make([]policy.Job, len(jobs))}
 	s.addCapacity(&snapshot, input, now)
 	classes, teams := nameIndex{}, nameIndex{}
+	minCores := input.coresPerTaskSlot()
 	for i, j := range jobs {
 		deadlines, missed := input.deadlines(j, now)
 		snapshot.Jobs[i] = policy.Job{
 			Class:           classes.indexOf(j.spec.Class),
 			Team:            teams.indexOf(j.spec.Team),
 			Priority:        priorityClass(j),
-			Work:            j.remainingWork(now),
+			Work:            j.remainingWork(minCores, now),
 			LastTaskSeconds: j.spec.EstimatedSeconds,
 			Deadline:        deadlines[0],
 			LaterDeadlines:  deadlines[1:],
@@ -166,12 +167,25 @@
 	return (j.deadlineMS - float64(now.UnixMilli())) / 1000
 }
 
+// coresPerTaskSlot returns the cores of the smallest machine type that belong to one of its
+// task slots.
+func (p *planInput) coresPerTaskSlot() float64 {
+	smallest := math.Inf(1)
+	for _, machineType := range p.machineTypes {
+		smallest = min(smallest, machineType.Cores)
+	}
+	if math.IsInf(smallest, 1) {
+		return 0
+	}
+	return smallest / protocol.MaxReportedTasks
+}
+
 // remainingWork returns the core seconds that a job still needs, by its estimated task
-// duration.
-func (j *job) remainingWork(now time.Time) float64 {
+// duration. A task counts with minCores at least, since it takes a slot of its machine.
+func (j *job) remainingWork(minCores float64, now time.Time) float64 {
 	work := float64(j.pendingTasks()) * j.spec.EstimatedSeconds
 	for _, attempt := range j.attempts {
 		work += max(0, j.spec.EstimatedSeconds-attempt.secondsRunning(now))
 	}
-	return work * j.taskResources[placement.Cores]
+	return work * max(minCores, j.taskResources[placement.Cores])
 }
--- a/internal/coordination/reconcile.go
+++ b/internal/coordination/reconcile.go
@@ -61,7 +61,7 @@
 // reconcileMachine updates this holder's view of a machine to match its
 // heartbeat.
 func (s *shard) reconcileMachine(m *machine, report *protocol.Heartbeat, now time.Time) {
-	wasFull := m.freeTaskSlots() <= 0
+	slotsBefore := m.freeTaskSlots()
 	clear(m.orphans)
 	clear(m.tasksToClear)
 	m.runsUnreadableJob = false
@@ -71,7 +71,7 @@
 		return m.attempts[key] != nil && m.attempts[key].number == reported.Attempt
 	})
 	s.dropAbsentAttempts(m, listed, report.FencingToken)
-	if wasFull && m.freeTaskSlots() > 0 {
+	if slotsBefore <= reservedTaskSlots && m.freeTaskSlots() > slotsBefore {
 		s.capacityFreed = true // by tasks that the worker has cleared
 	}
 }
--- a/internal/coordination/scale_out.go
+++ b/internal/coordination/scale_out.go
@@ -36,6 +36,11 @@
 	return scaleOutBin{kind: kind, free: size, size: size, slots: protocol.MaxReportedTasks}
 }
 
+// hasSlotFor reports whether the machine has a slot for one more task of a job.
+func (b *scaleOutBin) hasSlotFor(j *job) bool {
+	return slotsFor(b.slots, b.size, j.taskResources) > 0
+}
+
 // planScaleOut computes which machines to request for unplaced tasks: they are packed
 // onto booting machines first, then onto new machines of the best-scoring type.
 //
@@ -118,7 +123,7 @@
 	newKind, canRequest := p.shard.selectKind(j, kinds, p.input)
 	selector := p.input.params.NewSelector(j.taskResources)
 	for i, bin := range p.bins {
-		if bin.slots > 0 && bin.free.Fits(j.taskResources) && j.allows(bin.kind.MachineType, bin.kind.Zone, bin.kind.Spot) {
+		if bin.hasSlotFor(j) && bin.free.Fits(j.taskResources) && j.allows(bin.kind.MachineType, bin.kind.Zone, bin.kind.Spot) {
 			selector.Add(i, bin.free, bin.size, 0)
 		}
 	}
@@ -133,7 +138,7 @@
 		}
 		p.bins[i].free = p.bins[i].free.Sub(j.taskResources)
 		p.bins[i].slots--
-		if p.bins[i].slots > 0 {
+		if p.bins[i].hasSlotFor(j) {
 			selector.PlaceOnBest()
 		} else {
 			selector.RemoveBest()
